--- /dev/null
+++ b/cmd/standin/main.go
@@ -0,0 +1,85 @@
+// Command standin runs a stand-in for the platform or for backend servers.
+package main
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"time"
+
+	"github.com/alecthomas/kong"
+
+	"fescuehall/standin"
+)
+
+type storeCommand struct {
+	Address string `arg:"" help:"IP address and port to listen on."`
+}
+
+// Run serves the store stand-in.
+func (storeCommand *storeCommand) Run() error {
+	return http.ListenAndServe(storeCommand.Address, (&standin.Store{}).Handler())
+}
+
+type hostListCommand struct {
+	Address string `arg:"" help:"IP address and port to listen on."`
+}
+
+// Run serves the host list stand-in.
+func (hostListCommand *hostListCommand) Run() error {
+	return http.ListenAndServe(hostListCommand.Address, (&standin.HostList{}).Handler())
+}
+
+type backendCommand struct {
+	Addresses      []string      `arg:"" help:"IP addresses and ports to listen on, one server on each."`
+	Slots          int           `default:"2" help:"Requests that run at a time."`
+	Queue          int           `default:"0" help:"Requests that wait before the rest is shed."`
+	Connections    int           `default:"25" help:"Connections kept open at a time."`
+	ConnectionCost time.Duration `default:"6ms" help:"Delay of a connection's first request."`
+	ServiceTime    time.Duration `default:"5ms" help:"Median service time."`
+	Spread         float64       `default:"0.3" help:"Standard deviation of the logarithm of the service time."`
+	ColdTime       time.Duration `default:"0s" help:"Time after the start in which requests take 5 times as long."`
+	Snapshots      []string      `default:"S1" help:"Snapshots that the servers have."`
+	Seed           uint64        `default:"1" help:"Seed of the service times."`
+}
+
+// Run serves one backend server on each address.
+func (backendCommand *backendCommand) Run() error {
+	failed := make(chan error)
+	for place, address := range backendCommand.Addresses {
+		listener, err := net.Listen("tcp", address)
+		if err != nil {
+			return err
+		}
+		server := backendCommand.server(uint64(place))
+		go func() { failed <- server.Serve(listener) }()
+	}
+	return <-failed
+}
+
+func (backendCommand *backendCommand) server(place uint64) *standin.Server {
+	return &standin.Server{
+		Slots:          backendCommand.Slots,
+		Queue:          backendCommand.Queue,
+		Connections:    backendCommand.Connections,
+		ConnectionCost: backendCommand.ConnectionCost,
+		ServiceTime:    backendCommand.ServiceTime,
+		Spread:         backendCommand.Spread,
+		ColdTime:       backendCommand.ColdTime,
+		Snapshots:      backendCommand.Snapshots,
+		Seed:           backendCommand.Seed + place,
+		Instance:       fmt.Sprintf("%d-%d", os.Getpid(), place),
+		Keep:           true,
+	}
+}
+
+func main() {
+	var commands struct {
+		Store    storeCommand    `cmd:"" help:"Run the configuration store."`
+		HostList hostListCommand `cmd:"" help:"Run the host list."`
+		Backend  backendCommand  `cmd:"" help:"Run backend servers."`
+	}
+	parsed := kong.Parse(&commands, kong.Name("standin"), kong.Description("Stand-ins for the platform and for backend servers."))
+	parsed.FatalIfErrorf(parsed.Run())
+}
--- /dev/null
+++ b/link/server.go
@@ -0,0 +1,109 @@
+package link
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"sync"
+
+	"fescuehall/frame"
+)
+
+// Reply sends one frame back; its type and body are the callee's.
+type Reply func(kind frame.Type, body []byte)
+
+// Server accepts connections from peers. Set the fields before Run.
+type Server struct {
+	// Handle is called on a goroutine of its own for each request. Its context
+	// ends when the sender withdraws the request or the connection ends.
+	Handle func(ctx context.Context, request frame.Frame, reply Reply)
+	// Broken is told of a connection closed for its bytes.
+	Broken func(peer string, err error)
+
+	mu    sync.Mutex
+	conns map[*Conn]bool
+}
+
+// Run serves listener until it is closed.
+func (server *Server) Run(listener net.Listener) error {
+	for {
+		netConn, err := listener.Accept()
+		if err != nil {
+			server.closeAll()
+			return err
+		}
+		go server.serve(newConn(netConn))
+	}
+}
+
+func (server *Server) closeAll() {
+	server.mu.Lock()
+	defer server.mu.Unlock()
+	for conn := range server.conns {
+		conn.close(net.ErrClosed)
+	}
+}
+
+func (server *Server) track(conn *Conn, open bool) {
+	server.mu.Lock()
+	defer server.mu.Unlock()
+	if server.conns == nil {
+		server.conns = make(map[*Conn]bool)
+	}
+	if open {
+		server.conns[conn] = true
+		return
+	}
+	delete(server.conns, conn)
+}
+
+func (server *Server) serve(conn *Conn) {
+	server.track(conn, true)
+	defer server.track(conn, false)
+	ctx, cancelAll := context.WithCancel(context.Background())
+	defer cancelAll()
+	session := &session{server: server, conn: conn, ctx: ctx, cancels: make(map[uint64]context.CancelFunc)}
+	err := conn.read(session.receive)
+	if err == io.EOF || errors.Is(err, net.ErrClosed) || server.Broken == nil {
+		return
+	}
+	server.Broken(conn.net.RemoteAddr().String(), err)
+}
+
+// session is the requests in flight on one connection.
+type session struct {
+	server *Server
+	conn   *Conn
+	ctx    context.Context
+
+	mu      sync.Mutex
+	cancels map[uint64]context.CancelFunc
+}
+
+func (session *session) receive(request frame.Frame) {
+	if request.Type == frame.Cancel {
+		session.end(request.Correlation)
+		return
+	}
+	ctx, cancel := context.WithCancel(session.ctx)
+	session.mu.Lock()
+	session.cancels[request.Correlation] = cancel
+	session.mu.Unlock()
+	go func() {
+		defer session.end(request.Correlation)
+		session.server.Handle(ctx, request, func(kind frame.Type, body []byte) {
+			session.conn.send(session.ctx, outgoing{frame: frame.Frame{Type: kind, Correlation: request.Correlation, Body: body}})
+		})
+	}()
+}
+
+func (session *session) end(correlation uint64) {
+	session.mu.Lock()
+	cancel := session.cancels[correlation]
+	delete(session.cancels, correlation)
+	session.mu.Unlock()
+	if cancel != nil {
+		cancel()
+	}
+}
