entry: serve a request from caller to answer as separate processes

A caller's search goes through an entry host to the host that fronts each replica and from there to a backend server; patches go through the platform's store by compare-and-swap.

--- a/Makefile
+++ b/Makefile
@@ -1,21 +1,40 @@
 # Targets for building, testing and measuring fescuehall.
 
 GO ?= go
-PROGRAMS = fescuehall standin
 
 all: build
 
 build:
 	$(GO) build -o bin/fescuehall .
-	$(GO) build -o bin/standin ./standin
+	$(GO) build -o bin/standin ./cmd/standin
 
 test:
 	$(GO) test -count=1 ./...
 
+# Formatter, vet, linters and generated code.
+check: format vet lint generated
+
+format:
+	@files=$$(gofmt -l $$(git ls-files '*.go')); test -z "$$files" || { echo "not formatted: $$files"; exit 1; }
+
+vet:
+	$(GO) vet ./...
+
+lint:
+	$(GO) tool staticcheck ./...
+	$(GO) tool revive -config revive.toml -formatter plain -exclude ./message/message_gen.go ./...
+
 generate:
 	$(GO) generate ./...
 
+# Fails when the committed code differs from what the schemas generate.
+generated: generate
+	git diff --exit-code -- '*/wire.go' message service/configuration.go setting/settings.go
+
+demo: build
+	bash script/demo
+
 clean:
 	rm -rf bin
 
-.PHONY: all build test generate clean
+.PHONY: all build test check format vet lint generate generated demo clean
--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -3,9 +3,11 @@
 
 import (
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"os"
+	"strings"
 	"time"
 
 	"github.com/alecthomas/kong"
@@ -74,11 +76,51 @@
 	}
 }
 
+type setCommand struct {
+	URL  string `arg:"" help:"URL to post to, such as http://127.0.0.1:9000/fault."`
+	JSON string `arg:"" help:"Document to post."`
+}
+
+// Run posts a document, such as a fault, to a running stand-in.
+func (setCommand *setCommand) Run() error {
+	response, err := http.Post(setCommand.URL, "application/json", strings.NewReader(setCommand.JSON))
+	if err != nil {
+		return err
+	}
+	return printBody(response)
+}
+
+type getCommand struct {
+	URL string `arg:"" help:"URL to read, such as http://127.0.0.1:9000/record."`
+}
+
+// Run prints what a running stand-in tells.
+func (getCommand *getCommand) Run() error {
+	response, err := http.Get(getCommand.URL)
+	if err != nil {
+		return err
+	}
+	return printBody(response)
+}
+
+func printBody(response *http.Response) error {
+	defer response.Body.Close()
+	if _, err := io.Copy(os.Stdout, response.Body); err != nil {
+		return err
+	}
+	if response.StatusCode != http.StatusOK {
+		return fmt.Errorf("status %s", response.Status)
+	}
+	return nil
+}
+
 func main() {
 	var commands struct {
 		Store    storeCommand    `cmd:"" help:"Run the configuration store."`
 		HostList hostListCommand `cmd:"" help:"Run the host list."`
 		Backend  backendCommand  `cmd:"" help:"Run backend servers."`
+		Set      setCommand      `cmd:"" help:"Post a fault or a host list to a running stand-in."`
+		Get      getCommand      `cmd:"" help:"Read a record, counts or any other URL."`
 	}
 	parsed := kong.Parse(&commands, kong.Name("standin"), kong.Description("Stand-ins for the platform and for backend servers."))
 	parsed.FatalIfErrorf(parsed.Run())
--- /dev/null
+++ b/command/check.go
@@ -0,0 +1,59 @@
+package command
+
+import (
+	"fmt"
+	"os"
+
+	"fescuehall/schema"
+	"fescuehall/service"
+	"fescuehall/setting"
+)
+
+func init() {
+	register("check", "Check settings and configuration files without starting anything.", &check{})
+}
+
+type check struct {
+	Settings      []string `type:"existingfile" help:"Settings files of entry hosts."`
+	Configuration []string `type:"existingfile" help:"Configuration files."`
+}
+
+// Run prints every problem of every file.
+func (check *check) Run() error {
+	if len(check.Settings)+len(check.Configuration) == 0 {
+		return &ExitError{Code: ExitUsage, Detail: "give --settings or --configuration"}
+	}
+	bad := 0
+	for _, file := range check.Settings {
+		bad += report(file, func(content []byte) []schema.Problem {
+			_, problems := setting.Parse(content)
+			return problems
+		})
+	}
+	for _, file := range check.Configuration {
+		bad += report(file, func(content []byte) []schema.Problem {
+			_, problems := service.Parse(content)
+			return problems
+		})
+	}
+	if bad > 0 {
+		return &ExitError{Code: ExitRefused, Detail: fmt.Sprintf("%d problems", bad)}
+	}
+	return nil
+}
+
+func report(file string, parse func([]byte) []schema.Problem) int {
+	content, err := os.ReadFile(file)
+	if err != nil {
+		fmt.Printf("%s: %v\n", file, err)
+		return 1
+	}
+	problems := parse(content)
+	for _, problem := range problems {
+		fmt.Printf("%s: %s\n", file, problem)
+	}
+	if len(problems) == 0 {
+		fmt.Printf("%s: good\n", file)
+	}
+	return len(problems)
+}
--- /dev/null
+++ b/command/serve.go
@@ -0,0 +1,33 @@
+package command
+
+import (
+	"os"
+
+	"fescuehall/entry"
+	"fescuehall/journal"
+	"fescuehall/setting"
+)
+
+func init() {
+	register("serve", "Run an entry host until it is told to stop (SIGTERM or SIGINT).", &serve{})
+}
+
+type serve struct {
+	Settings string `arg:"" type:"existingfile" help:"Settings file, JSON."`
+}
+
+// Run serves until the process is told to stop.
+func (serve *serve) Run() error {
+	settings, err := setting.Load(serve.Settings)
+	if err != nil {
+		return &ExitError{Code: ExitUsage, Detail: err.Error()}
+	}
+	log, err := journal.New(os.Stderr, string(settings.Log.Level), string(settings.Log.Format))
+	if err != nil {
+		return err
+	}
+	ctx, cancel := interrupted()
+	defer cancel()
+	host := &entry.Host{Settings: settings, Journal: log}
+	return host.Run(ctx)
+}
--- /dev/null
+++ b/command/status.go
@@ -0,0 +1,72 @@
+package command
+
+import (
+	"fmt"
+	"os"
+	"text/tabwriter"
+
+	"fescuehall/entry"
+)
+
+func init() {
+	register("status", "Show what an entry host believes.", &status{})
+	register("explain", "Show the decision lines of a request on an entry host.", &explain{})
+}
+
+type status struct {
+	Target
+	JSON bool `help:"Print JSON."`
+}
+
+// Run prints the host's status.
+func (status *status) Run() error {
+	var shown entry.Status
+	if err := status.get("/v1/status", &shown); err != nil {
+		return err
+	}
+	if status.JSON {
+		return printJSON(shown)
+	}
+	fmt.Printf("host %s in %s: %s, version %d, watches the store: %t, fronts %d replicas\n\n", shown.Name, shown.FailureDomain, shown.Why, shown.Version, shown.Watches, shown.Fronted)
+	table := tabwriter.NewWriter(os.Stdout, 0, 8, 2, ' ', 0)
+	fmt.Fprintln(table, "MEMBER\tADDRESS\tDOMAIN\tSTATE")
+	for _, member := range shown.Members {
+		state := member.State
+		if member.Unreachable {
+			state += ", unreachable from here"
+		}
+		fmt.Fprintf(table, "%s\t%s\t%s\t%s\n", member.Name, member.Address, member.FailureDomain, state)
+	}
+	fmt.Fprintln(table, "\nSERVICE\tIN FLIGHT BY RANK\tLIMITS\tSUB-REQUESTS\tRETRIES\tHEDGES")
+	for _, load := range shown.Loads {
+		fmt.Fprintf(table, "%s\t%v\t%.0f\t%d\t%d\t%d\n", load.Service, load.InFlight, load.Limits, load.First, load.Retries, load.Hedges)
+	}
+	fmt.Fprintln(table, "\nREPLICA\tRUNNING\tWAITING\tCONNECTIONS OPENED")
+	for _, replica := range shown.Replicas {
+		fmt.Fprintf(table, "%s\t%d\t%d\t%d\n", replica.Replica, replica.Running, replica.Waiting, replica.Opened)
+	}
+	for _, mark := range shown.Leaving {
+		fmt.Fprintf(table, "\nleaving: %s, says %s\n", mark.Replica, mark.Source)
+	}
+	return table.Flush()
+}
+
+type explain struct {
+	Target
+	Request string `arg:"" help:"Identity of the request."`
+}
+
+// Run prints the request's decision lines.
+func (explain *explain) Run() error {
+	var lines []string
+	if err := explain.get("/v1/explain/"+explain.Request, &lines); err != nil {
+		return err
+	}
+	if len(lines) == 0 {
+		return fmt.Errorf("host %s has no line about request %q", explain.Host, explain.Request)
+	}
+	for _, line := range lines {
+		fmt.Println(line)
+	}
+	return nil
+}
--- /dev/null
+++ b/entry/host.go
@@ -0,0 +1,220 @@
+// Package entry joins the parts of one entry host: callers' requests, fronted
+// replicas, membership and the configuration in force.
+package entry
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"fescuehall/claim"
+	"fescuehall/front"
+	"fescuehall/journal"
+	"fescuehall/link"
+	"fescuehall/member"
+	"fescuehall/message"
+	"fescuehall/patch"
+	"fescuehall/query"
+	"fescuehall/relay"
+	"fescuehall/replica"
+	"fescuehall/service"
+	"fescuehall/setting"
+	"fescuehall/store"
+)
+
+// Host is one entry host. Set the exported fields before Run.
+type Host struct {
+	Settings *setting.Settings
+	Journal  *journal.Journal
+
+	store       *store.Client
+	current     *relay.Current
+	loader      *relay.Loader
+	detector    *member.Detector
+	gossip      *member.Runner
+	front       *front.Front
+	coordinator *query.Coordinator
+	submitter   *patch.Submitter
+	marks       *replica.Marks
+	metrics     *metrics
+
+	placed   atomic.Pointer[placement]
+	peers    sync.Map
+	listed   sync.Map
+	fetching atomic.Bool
+	synced   atomic.Bool
+	stopping atomic.Bool
+	log      func(format string, args ...any)
+}
+
+// Run serves until ctx ends, then stops by plan.
+func (host *Host) Run(ctx context.Context) error {
+	host.build()
+	sockets, err := host.open()
+	if err != nil {
+		return err
+	}
+	background, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	defer cancel()
+	host.gossip.Socket = sockets.gossip
+	links := &link.Server{Handle: host.handle, Broken: func(peer string, err error) {
+		host.log("Close connection of peer %s: %v.", peer, err)
+	}}
+	callers := &http.Server{Handler: host.routes(), ReadHeaderTimeout: headerTimeout, ReadTimeout: bodyTimeout, IdleTimeout: idleTimeout}
+	failed := make(chan error, 2)
+	go func() { failed <- links.Run(sockets.peers) }()
+	go func() { failed <- callers.Serve(sockets.callers) }()
+	go host.gossip.Run(background)
+	go host.followHosts(background)
+	go host.front.Poll(background, host.fronted)
+	go host.watcher().Run(background)
+	go host.sync(background)
+	host.log("Host %s serves callers at %s and peers at %s in failure domain %s.", host.Settings.Name, host.Settings.CallerAddress, host.Settings.PeerAddress, host.Settings.FailureDomain)
+	select {
+	case err := <-failed:
+		if !errors.Is(err, http.ErrServerClosed) {
+			return err
+		}
+	case <-ctx.Done():
+	}
+	host.stop(callers)
+	sockets.close()
+	return nil
+}
+
+const (
+	headerTimeout = 5 * time.Second
+	bodyTimeout   = 10 * time.Second
+	idleTimeout   = 2 * time.Minute
+)
+
+// sockets are what a host listens on.
+type sockets struct {
+	callers net.Listener
+	peers   net.Listener
+	gossip  net.PacketConn
+}
+
+func (sockets *sockets) close() {
+	sockets.peers.Close()
+	sockets.gossip.Close()
+}
+
+func (host *Host) open() (*sockets, error) {
+	opened := &sockets{}
+	var err error
+	if opened.callers, err = net.Listen("tcp", host.Settings.CallerAddress); err != nil {
+		return nil, fmt.Errorf("setting CallerAddress: %w", err)
+	}
+	if opened.peers, err = net.Listen("tcp", host.Settings.PeerAddress); err != nil {
+		return nil, fmt.Errorf("setting PeerAddress: %w", err)
+	}
+	if opened.gossip, err = net.ListenPacket("udp", host.Settings.PeerAddress); err != nil {
+		return nil, fmt.Errorf("setting PeerAddress: %w", err)
+	}
+	return opened, nil
+}
+
+func (host *Host) build() {
+	host.log = host.Journal.Part("entry")
+	host.metrics = newMetrics()
+	host.store = &store.Client{BaseURL: host.Settings.StoreURL, HTTP: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 16}}}
+	host.marks = &replica.Marks{Now: time.Now, Changed: host.markChanged}
+	host.current = &relay.Current{Advanced: host.advanced}
+	host.loader = &relay.Loader{Get: host.store.Get, Current: host.current}
+	host.submitter = &patch.Submitter{
+		Store: patch.Store{Get: host.store.Get, Put: host.store.Put},
+		Load:  host.loader.Load,
+		Now:   time.Now,
+		Pause: pause,
+	}
+	host.buildMembership()
+	host.buildPath()
+}
+
+func (host *Host) buildMembership() {
+	log := host.Journal.Part("member")
+	host.detector = &member.Detector{
+		Self: message.MemberUpdate{
+			Name:          host.Settings.Name,
+			Address:       host.Settings.PeerAddress,
+			FailureDomain: host.Settings.FailureDomain,
+			Incarnation:   uint64(time.Now().UnixMicro()),
+		},
+		Random:        rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		ConfigVersion: func() uint64 { return host.current.View().Version },
+		Changed: func(update message.MemberUpdate) {
+			log("Host %s in %s is %s.", update.Name, update.FailureDomain, member.StateName(update.State))
+		},
+	}
+	host.gossip = &member.Runner{Detector: host.detector, Heard: host.heard}
+}
+
+func (host *Host) buildPath() {
+	host.front = &front.Front{
+		View:  host.current.View,
+		Marks: host.marks,
+		Now:   time.Now,
+		Log:   host.Journal.Part("front"),
+	}
+	claimer := &claim.Claimer{Host: host.Settings.Name, Nonce: nonce, Get: host.store.Get, Put: host.store.Put}
+	host.coordinator = &query.Coordinator{
+		Host:     host.Settings.Name,
+		View:     host.current.View,
+		Send:     host.send,
+		Claim:    claimer.Claim,
+		Picker:   replica.New(),
+		Marks:    host.marks,
+		Absences: &replica.Absences{Now: time.Now},
+		Now:      time.Now,
+		After:    after,
+		Hedge:    true,
+		Log:      host.Journal.Part("query"),
+		Observe:  host.metrics.observe,
+	}
+}
+
+func (host *Host) watcher() *relay.Watcher {
+	return &relay.Watcher{Loader: host.loader, Watch: host.store.Watch, Chosen: host.chosen, Log: host.Journal.Part("relay")}
+}
+
+// advanced tells peers of a new configuration.
+func (host *Host) advanced(view *service.View, source string) {
+	host.log("Configuration version %d is in force, from %s.", view.Version, source)
+	host.metrics.version.Set(int64(view.Version))
+	host.gossip.Send(host.detector.Notify())
+}
+
+func (host *Host) markChanged(mark message.Mark) {
+	if mark.Cleared {
+		host.log("Backend server %s takes work again, says %s.", mark.Replica, mark.Source)
+	} else {
+		host.log("Backend server %s is leaving, says %s.", mark.Replica, mark.Source)
+	}
+	host.detector.Mark(mark)
+	host.gossip.Send(host.detector.Notify())
+}
+
+func nonce() string {
+	return fmt.Sprintf("%016x%016x", rand.Uint64(), rand.Uint64())
+}
+
+func after(wait time.Duration) (<-chan time.Time, func() bool) {
+	timer := time.NewTimer(wait)
+	return timer.C, timer.Stop
+}
+
+func pause(ctx context.Context, wait time.Duration) {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
--- a/message/message.go
+++ b/message/message.go
@@ -134,6 +134,9 @@
 	// Failure detail for people.
 	Detail string `json:"Detail"`
 
+	// Entry host that fronted the replica.
+	Host string `json:"Host"`
+
 	// Time in the replica's queue in microseconds.
 	QueueMicros int64 `json:"QueueMicros"`
 
--- a/message/message_gen.go
+++ b/message/message_gen.go
@@ -792,9 +792,9 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *SubReply) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 13
+	// map header, size 14
 	// string "Attempt"
-	o = append(o, 0x8d, 0xa7, 0x41, 0x74, 0x74, 0x65, 0x6d, 0x70, 0x74)
+	o = append(o, 0x8e, 0xa7, 0x41, 0x74, 0x74, 0x65, 0x6d, 0x70, 0x74)
 	o = msgp.AppendInt(o, z.Attempt)
 	// string "Code"
 	o = append(o, 0xa4, 0x43, 0x6f, 0x64, 0x65)
@@ -802,6 +802,9 @@
 	// string "Detail"
 	o = append(o, 0xa6, 0x44, 0x65, 0x74, 0x61, 0x69, 0x6c)
 	o = msgp.AppendString(o, z.Detail)
+	// string "Host"
+	o = append(o, 0xa4, 0x48, 0x6f, 0x73, 0x74)
+	o = msgp.AppendString(o, z.Host)
 	// string "QueueMicros"
 	o = append(o, 0xab, 0x51, 0x75, 0x65, 0x75, 0x65, 0x4d, 0x69, 0x63, 0x72, 0x6f, 0x73)
 	o = msgp.AppendInt64(o, z.QueueMicros)
@@ -881,6 +884,12 @@
 				err = msgp.WrapError(err, "Detail")
 				return
 			}
+		case "Host":
+			z.Host, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Host")
+				return
+			}
 		case "QueueMicros":
 			z.QueueMicros, bts, err = msgp.ReadInt64Bytes(bts)
 			if err != nil {
@@ -981,7 +990,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *SubReply) Msgsize() (s int) {
-	s = 1 + 8 + msgp.IntSize + 5 + msgp.StringPrefixSize + len(z.Code) + 7 + msgp.StringPrefixSize + len(z.Detail) + 12 + msgp.Int64Size + 8 + msgp.StringPrefixSize + len(z.Replica) + 10 + msgp.StringPrefixSize + len(z.RequestID) + 8 + msgp.ArrayHeaderSize
+	s = 1 + 8 + msgp.IntSize + 5 + msgp.StringPrefixSize + len(z.Code) + 7 + msgp.StringPrefixSize + len(z.Detail) + 5 + msgp.StringPrefixSize + len(z.Host) + 12 + msgp.Int64Size + 8 + msgp.StringPrefixSize + len(z.Replica) + 10 + msgp.StringPrefixSize + len(z.RequestID) + 8 + msgp.ArrayHeaderSize
 	for za0001 := range z.Results {
 		s += z.Results[za0001].Msgsize()
 	}
--- /dev/null
+++ b/query/query.go
@@ -0,0 +1,298 @@
+// Package query answers callers' requests: it picks a snapshot, spreads the
+// request over the shards and merges what comes back.
+package query
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"fescuehall/answer"
+	"fescuehall/message"
+	"fescuehall/rank"
+	"fescuehall/replica"
+	"fescuehall/service"
+	"fescuehall/verdict"
+)
+
+const (
+	// replyMargin is kept of a deadline for the way back to the caller.
+	replyMargin = 3 * time.Millisecond
+	// maxSnapshots bounds how many snapshots one query tries.
+	maxSnapshots = 3
+)
+
+// Coordinator answers requests. Set the fields before use.
+type Coordinator struct {
+	// Host is this host's name, for answers.
+	Host string
+	// View returns the configuration in force.
+	View func() *service.View
+	// Send runs a sub-request at the host that fronts its replica. It always
+	// returns a reply.
+	Send func(ctx context.Context, request *message.SubRequest) *message.SubReply
+	// Claim secures the identity of a request that is not idempotent. The
+	// function it returns records what became of the request.
+	Claim func(ctx context.Context, requestID string) (settle func(verdict.Verdict), err error)
+	// Picker chooses among replicas.
+	Picker *replica.Picker
+	// Marks knows the leaving backend servers.
+	Marks *replica.Marks
+	// Absences knows which replicas lack which snapshots.
+	Absences *replica.Absences
+	// Now is the clock.
+	Now func() time.Time
+	// After returns a channel that yields after a time, and stops it.
+	After func(wait time.Duration) (<-chan time.Time, func() bool)
+	// Hedge switches hedging on.
+	Hedge bool
+	// Log is told of each request and of each exceptional decision.
+	Log func(format string, args ...any)
+	// Observe is told of each answer.
+	Observe func(serviceName, rankName string, took time.Duration, answer *answer.Answer)
+
+	services sync.Map
+	inFlight sync.Map
+}
+
+// job is one request on its way.
+type job struct {
+	request   *answer.Request
+	view      *service.View
+	service   *service.Service
+	kind      service.Kind
+	rank      int
+	load      *load
+	started   time.Time
+	deadline  time.Time
+	snapshot  string
+	shards    [][]service.Replica
+	wasPress  bool
+	trace     trace
+	pressLock sync.Mutex
+}
+
+// Answer serves one request. It always returns an answer; a failure has a
+// code and a verdict.
+func (coordinator *Coordinator) Answer(ctx context.Context, request *answer.Request) *answer.Answer {
+	started := coordinator.Now()
+	job, err := coordinator.accept(request, started)
+	if err != nil {
+		return coordinator.failed(request, job, verdict.Of(err))
+	}
+	if _, taken := coordinator.inFlight.LoadOrStore(request.RequestID, true); taken {
+		return coordinator.failed(request, job, verdict.New(verdict.MayHaveRun, verdict.DuplicateRequest, "request %q is in flight", request.RequestID))
+	}
+	defer coordinator.inFlight.Delete(request.RequestID)
+	answer := coordinator.admitted(ctx, job)
+	took := coordinator.Now().Sub(started)
+	coordinator.Log("Request %s of %s/%s at rank %s: %s.", request.RequestID, request.Service, request.Kind, job.kind.Rank, job.trace.summary(answer, took))
+	if coordinator.Observe != nil {
+		coordinator.Observe(request.Service, job.kind.Rank, took, answer)
+	}
+	return answer
+}
+
+// accept checks a request against the configuration.
+func (coordinator *Coordinator) accept(request *answer.Request, started time.Time) (*job, error) {
+	view := coordinator.View()
+	found, ok := view.Services[request.Service]
+	if !ok {
+		return nil, verdict.New(verdict.NotRun, verdict.UnknownService, "service %q does not exist in version %d", request.Service, view.Version)
+	}
+	kind, ok := found.Kind(request.Kind)
+	if !ok {
+		return nil, verdict.New(verdict.NotRun, verdict.UnknownKind, "kind %q does not exist in service %q", request.Kind, request.Service)
+	}
+	if !kind.Idempotent && request.Key == "" {
+		return nil, verdict.New(verdict.NotRun, verdict.BadRequest, "kind %q is not idempotent and needs a Key", request.Kind)
+	}
+	job := &job{request: request, view: view, service: found, kind: kind, started: started}
+	job.rank = view.Rank(kind.Rank)
+	job.deadline = started.Add(budget(request, kind))
+	job.load = coordinator.loadOf(request.Service, len(view.Ranks))
+	return job, nil
+}
+
+// budget is the kind's time to answer, or less if the caller asks for less.
+func budget(request *answer.Request, kind service.Kind) time.Duration {
+	millis := kind.DeadlineMillis
+	if request.DeadlineMillis > 0 {
+		millis = min(millis, request.DeadlineMillis)
+	}
+	return time.Duration(millis) * time.Millisecond
+}
+
+// admitted serves a request within the limits for its rank.
+func (coordinator *Coordinator) admitted(ctx context.Context, job *job) *answer.Answer {
+	limiter := job.load.limiters[job.rank]
+	if err := limiter.Enter(); err != nil {
+		return coordinator.failed(job.request, job, verdict.Of(err))
+	}
+	defer func() {
+		limiter.Leave(rank.Outcome{Pressed: job.wasPressed(), Took: coordinator.Now().Sub(job.started)})
+	}()
+	ctx, cancel := context.WithDeadline(ctx, job.deadline.Add(-replyMargin))
+	defer cancel()
+	if job.kind.Idempotent {
+		return coordinator.spread(ctx, job)
+	}
+	return coordinator.once(ctx, job)
+}
+
+// spread asks every shard, of an older snapshot when the newest is not there
+// yet.
+func (coordinator *Coordinator) spread(ctx context.Context, job *job) *answer.Answer {
+	var merger *answer.Merger
+	for _, snapshot := range job.order(coordinator.Absences) {
+		job.snapshot = snapshot
+		job.shards = job.service.ShardMap(snapshot)
+		var complete bool
+		merger, complete = coordinator.round(ctx, job)
+		if complete || ctx.Err() != nil {
+			break
+		}
+		coordinator.Log("Request %s asks again: snapshot %s is not on every shard.", job.request.RequestID, snapshot)
+	}
+	return coordinator.finish(job, merger)
+}
+
+// order returns the snapshots to try: the newest first, unless a replica
+// lacked it a short while ago.
+func (job *job) order(absences *replica.Absences) []string {
+	var first, last []string
+	for _, snapshot := range job.service.Snapshots {
+		if absences.Lacks(job.request.Service, snapshot.Name) {
+			last = append(last, snapshot.Name)
+			continue
+		}
+		first = append(first, snapshot.Name)
+	}
+	names := append(first, last...)
+	return names[:min(len(names), maxSnapshots)]
+}
+
+// shardOutcome is what became of one shard's part.
+type shardOutcome struct {
+	shard   int
+	results []answer.Result
+	failure *verdict.Failure
+}
+
+// round asks every shard of one snapshot. It reports false when a shard has
+// no replica with the snapshot, so that another has to be tried.
+func (coordinator *Coordinator) round(ctx context.Context, job *job) (*answer.Merger, bool) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	merger := answer.NewMerger(job.snapshot, len(job.shards), job.request.Limit)
+	outcomes := make(chan shardOutcome, len(job.shards))
+	job.load.first(len(job.shards))
+	for shard := range job.shards {
+		go func() { outcomes <- coordinator.shard(ctx, job, shard) }()
+	}
+	complete := true
+	for range job.shards {
+		select {
+		case outcome := <-outcomes:
+			if outcome.absent() && len(job.service.Snapshots) > 1 {
+				coordinator.Absences.Add(job.request.Service, job.snapshot)
+				complete = false
+			}
+			coordinator.merge(merger, outcome)
+		case <-ctx.Done():
+			coordinator.drain(merger, outcomes)
+			return merger, true
+		}
+		if !complete {
+			return merger, false
+		}
+	}
+	return merger, true
+}
+
+func (outcome shardOutcome) absent() bool {
+	return outcome.failure != nil && outcome.failure.Code == verdict.SnapshotMissing
+}
+
+func (coordinator *Coordinator) merge(merger *answer.Merger, outcome shardOutcome) {
+	if outcome.failure != nil {
+		merger.Miss(outcome.shard, outcome.failure)
+		return
+	}
+	if err := merger.Add(outcome.shard, outcome.results); err != nil {
+		coordinator.Log("Drop results: %v.", err)
+		merger.Miss(outcome.shard, verdict.New(verdict.Ran, verdict.ReplyMismatch, "%v", err))
+	}
+}
+
+// drain takes what is there at the deadline.
+func (coordinator *Coordinator) drain(merger *answer.Merger, outcomes chan shardOutcome) {
+	for {
+		select {
+		case outcome := <-outcomes:
+			coordinator.merge(merger, outcome)
+		default:
+			return
+		}
+	}
+}
+
+// finish gives a partial answer when the kind allows its coverage.
+func (coordinator *Coordinator) finish(job *job, merger *answer.Merger) *answer.Answer {
+	merged := merger.Answer()
+	merged.RequestID = job.request.RequestID
+	merged.Host = coordinator.Host
+	merged.Version = job.view.Version
+	merged.Verdict = merger.Verdict().String()
+	if merged.ShardsCovered*100 >= merged.ShardsAsked*job.kind.MinCoveragePercent && merged.ShardsCovered > 0 {
+		return merged
+	}
+	merged.Results = []answer.Result{}
+	failure := verdict.New(merger.Verdict(), verdict.LowCoverage, "%d of %d shards covered, want %d percent", merged.ShardsCovered, merged.ShardsAsked, job.kind.MinCoveragePercent)
+	if merged.ShardsCovered == 0 && len(merged.Missing) > 0 {
+		failure.Code = verdict.Code(merged.Missing[0].Code)
+	}
+	merged.ShardsCovered = 0
+	merged.Missing = missingAll(merged, len(job.shards))
+	merged.Code = string(failure.Code)
+	merged.Detail = failure.Detail
+	return merged
+}
+
+// missingAll lists every shard as missing in an answer without results.
+func missingAll(merged *answer.Answer, shards int) []answer.Missing {
+	known := make(map[int]answer.Missing)
+	for _, missing := range merged.Missing {
+		known[missing.Shard] = missing
+	}
+	all := make([]answer.Missing, shards)
+	for shard := range all {
+		missing, ok := known[shard]
+		if !ok {
+			missing = answer.Missing{Shard: shard, Code: string(verdict.LowCoverage), Verdict: verdict.Ran.String(), Detail: "results are not given"}
+		}
+		all[shard] = missing
+	}
+	return all
+}
+
+func (coordinator *Coordinator) failed(request *answer.Request, job *job, failure *verdict.Failure) *answer.Answer {
+	failed := &answer.Answer{RequestID: request.RequestID, Host: coordinator.Host, Verdict: failure.Verdict.String(), Code: string(failure.Code), Detail: failure.Detail, Missing: []answer.Missing{}, Results: []answer.Result{}}
+	if job != nil {
+		failed.Version = job.view.Version
+	}
+	return failed
+}
+
+// press records that a replica was short of slots for this request.
+func (job *job) press() {
+	job.pressLock.Lock()
+	defer job.pressLock.Unlock()
+	job.wasPress = true
+}
+
+func (job *job) wasPressed() bool {
+	job.pressLock.Lock()
+	defer job.pressLock.Unlock()
+	return job.wasPress
+}
--- a/service/configuration.go
+++ b/service/configuration.go
@@ -63,6 +63,9 @@
 	// Parts that the patch made.
 	Changed []Entry `json:"Changed"`
 
+	// Digest of the patch's content.
+	Digest string `json:"Digest"`
+
 	// Store key of the list of all parts.
 	Index string `json:"Index"`
 
--- /dev/null
+++ b/setting/load.go
@@ -0,0 +1,62 @@
+// Package setting reads and checks the settings of an entry host.
+package setting
+
+import (
+	"encoding/json"
+	"fmt"
+	"os"
+	"strings"
+
+	"fescuehall/schema"
+)
+
+// Error lists every problem of a settings file.
+type Error struct {
+	File     string
+	Problems []schema.Problem
+}
+
+// Error implements error.
+func (err *Error) Error() string {
+	lines := []string{fmt.Sprintf("settings file %q has %d problems:", err.File, len(err.Problems))}
+	for _, problem := range err.Problems {
+		lines = append(lines, "  "+problem.String())
+	}
+	return strings.Join(lines, "\n")
+}
+
+// Load reads a settings file. The error is *Error for a file with problems.
+func Load(file string) (*Settings, error) {
+	content, err := os.ReadFile(file)
+	if err != nil {
+		return nil, err
+	}
+	settings, problems := Parse(content)
+	if len(problems) > 0 {
+		return nil, &Error{File: file, Problems: problems}
+	}
+	return settings, nil
+}
+
+// Parse checks settings and fills in defaults.
+func Parse(content []byte) (*Settings, []schema.Problem) {
+	if problems := schema.Check(schema.Settings, content); len(problems) > 0 {
+		return nil, problems
+	}
+	settings := defaults()
+	if err := json.Unmarshal(content, settings); err != nil {
+		return nil, []schema.Problem{{Path: "/", Detail: err.Error()}}
+	}
+	if settings.CallerAddress == settings.PeerAddress {
+		return nil, []schema.Problem{{Path: "/PeerAddress", Detail: fmt.Sprintf("value %q is the caller address too", settings.PeerAddress)}}
+	}
+	return settings, nil
+}
+
+func defaults() *Settings {
+	return &Settings{
+		MaxBodyBytes: 65536,
+		Log:          &Log{Level: LogLevelInfo, Format: LogFormatText},
+		Stop:         &Stop{BalancerLagMillis: 5000, MaxMillis: 30000},
+	}
+}
