front: serve hedges from free slots only, and let withdrawn searches end

Cause: at 1.5 times capacity one shard of 20 was at 98% use while the others were at 65%. The per-shard figures showed 177 extra runs, all on that shard: a queue makes sub-requests late, late ones are hedged, and the service-wide hedge budget of 4% is 80% more load on one shard. Ruled out: an imbalance between the replicas of a shard (both at 98%), the limiter (27 queries in flight sufficed), connections (none new). Separately, cancelled searches were given up at the front while the server still worked: 3 in flight at 2 slots, 13 new connections for each 1,000 sub-requests.

Change: a hedge is refused as not run unless a slot is free at once, and a search that is withdrawn after sending runs to its end or deadline.

--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -62,17 +62,19 @@
 
 func (backendCommand *backendCommand) server(place uint64) *standin.Server {
 	return &standin.Server{
-		Slots:          backendCommand.Slots,
-		Queue:          backendCommand.Queue,
-		Connections:    backendCommand.Connections,
-		ConnectionCost: backendCommand.ConnectionCost,
-		ServiceTime:    backendCommand.ServiceTime,
-		Spread:         backendCommand.Spread,
-		ColdTime:       backendCommand.ColdTime,
-		Snapshots:      backendCommand.Snapshots,
-		Seed:           backendCommand.Seed + place,
-		Instance:       fmt.Sprintf("%d-%d", os.Getpid(), place),
-		Keep:           true,
+		Model: standin.Model{
+			Slots:          backendCommand.Slots,
+			Queue:          backendCommand.Queue,
+			Connections:    backendCommand.Connections,
+			ConnectionCost: backendCommand.ConnectionCost,
+			ServiceTime:    backendCommand.ServiceTime,
+			Spread:         backendCommand.Spread,
+			ColdTime:       backendCommand.ColdTime,
+			Seed:           backendCommand.Seed + place,
+			Keep:           true,
+		},
+		Snapshots: backendCommand.Snapshots,
+		Instance:  fmt.Sprintf("%d-%d", os.Getpid(), place),
 	}
 }
 
--- a/entry/host.go
+++ b/entry/host.go
@@ -32,6 +32,10 @@
 type Host struct {
 	Settings *setting.Settings
 	Journal  *journal.Journal
+	// Policy switches decisions off, to measure them.
+	Policy Policy
+	// Sockets are used instead of opening those in the settings, when not nil.
+	Sockets *Sockets
 
 	store       *store.Client
 	current     *relay.Current
@@ -53,6 +57,23 @@
 	log      func(format string, args ...any)
 }
 
+// Policy switches decisions off. The zero value is what operators run.
+type Policy struct {
+	// Direct calls backend servers from every host instead of through the one
+	// that fronts the replica.
+	Direct bool
+	// NoHedge sends no hedges.
+	NoHedge bool
+	// NoLimits admits every query.
+	NoLimits bool
+	// OneRank serves all ranks alike.
+	OneRank bool
+	// NoBudget lets every retry and hedge through.
+	NoBudget bool
+	// Choice is Random, RoundRobin or LeastOutstanding instead of the picker's.
+	Choice string
+}
+
 // Run serves until ctx ends, then stops by plan.
 func (host *Host) Run(ctx context.Context) error {
 	host.build()
@@ -62,14 +83,14 @@
 	}
 	background, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
-	host.gossip.Socket = sockets.gossip
+	host.gossip.Socket = sockets.Gossip
 	links := &link.Server{Handle: host.handle, Broken: func(peer string, err error) {
 		host.log("Close connection of peer %s: %v.", peer, err)
 	}}
 	callers := &http.Server{Handler: host.routes(), ReadHeaderTimeout: headerTimeout, ReadTimeout: bodyTimeout, IdleTimeout: idleTimeout}
 	failed := make(chan error, 2)
-	go func() { failed <- links.Run(sockets.peers) }()
-	go func() { failed <- callers.Serve(sockets.callers) }()
+	go func() { failed <- links.Run(sockets.Peers) }()
+	go func() { failed <- callers.Serve(sockets.Callers) }()
 	go host.gossip.Run(background)
 	go host.followHosts(background)
 	go host.front.Poll(background, host.fronted)
@@ -94,28 +115,32 @@
 	idleTimeout   = 2 * time.Minute
 )
 
-// sockets are what a host listens on.
-type sockets struct {
-	callers net.Listener
-	peers   net.Listener
-	gossip  net.PacketConn
+// Sockets are what a host listens on.
+type Sockets struct {
+	Callers net.Listener
+	Peers   net.Listener
+	Gossip  net.PacketConn
 }
 
-func (sockets *sockets) close() {
-	sockets.peers.Close()
-	sockets.gossip.Close()
+func (sockets *Sockets) close() {
+	sockets.Callers.Close()
+	sockets.Peers.Close()
+	sockets.Gossip.Close()
 }
 
-func (host *Host) open() (*sockets, error) {
-	opened := &sockets{}
+func (host *Host) open() (*Sockets, error) {
+	if host.Sockets != nil {
+		return host.Sockets, nil
+	}
+	opened := &Sockets{}
 	var err error
-	if opened.callers, err = net.Listen("tcp", host.Settings.CallerAddress); err != nil {
+	if opened.Callers, err = net.Listen("tcp", host.Settings.CallerAddress); err != nil {
 		return nil, fmt.Errorf("setting CallerAddress: %w", err)
 	}
-	if opened.peers, err = net.Listen("tcp", host.Settings.PeerAddress); err != nil {
+	if opened.Peers, err = net.Listen("tcp", host.Settings.PeerAddress); err != nil {
 		return nil, fmt.Errorf("setting PeerAddress: %w", err)
 	}
-	if opened.gossip, err = net.ListenPacket("udp", host.Settings.PeerAddress); err != nil {
+	if opened.Gossip, err = net.ListenPacket("udp", host.Settings.PeerAddress); err != nil {
 		return nil, fmt.Errorf("setting PeerAddress: %w", err)
 	}
 	return opened, nil
@@ -174,10 +199,14 @@
 		Absences: &replica.Absences{Now: time.Now},
 		Now:      time.Now,
 		After:    after,
-		Hedge:    true,
+		Hedge:    !host.Policy.NoHedge,
+		NoLimits: host.Policy.NoLimits,
+		OneRank:  host.Policy.OneRank,
+		NoBudget: host.Policy.NoBudget,
 		Log:      host.Journal.Part("query"),
 		Observe:  host.metrics.observe,
 	}
+	host.coordinator.Pick = host.coordinator.Picker.Choice(host.Policy.Choice)
 }
 
 func (host *Host) watcher() *relay.Watcher {
--- a/entry/route.go
+++ b/entry/route.go
@@ -80,6 +80,10 @@
 // send runs a sub-request at the host that fronts its replica, or at the next
 // one if the first can't be reached.
 func (host *Host) send(ctx context.Context, request *message.SubRequest) *message.SubReply {
+	if host.Policy.Direct {
+		request.Relayed = true
+		return host.serve(ctx, request)
+	}
 	limits, _ := host.current.View().Limits(request.Replica)
 	const fronts = 2
 	failure := verdict.New(verdict.NotRun, verdict.NoReplica, "no host fronts %s", request.Replica)
--- /dev/null
+++ b/experiment/experiment.go
@@ -0,0 +1,124 @@
+// Package experiment measures the decisions against baselines, each case and
+// its baseline in one run on one machine.
+package experiment
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"fescuehall/entry"
+	"fescuehall/fleet"
+	"fescuehall/load"
+	"fescuehall/service"
+	"fescuehall/standin"
+)
+
+// Row is one line of the table of measurements.
+type Row struct {
+	Case     string
+	Baseline string
+	Ours     string
+	Target   string
+	Held     bool
+}
+
+// Experiment measures one decision.
+type Experiment struct {
+	Name string
+	Help string
+	Run  func(ctx context.Context) ([]Row, error)
+}
+
+// All lists the experiments in the order they are run.
+func All() []Experiment {
+	return []Experiment{
+		{"slots", "Slots and connections kept over all entry hosts.", Slots},
+		{"flood", "Service by rank under floods of 4 times the capacity.", Floods},
+		{"tails", "Stragglers and random slow sub-requests.", Tails},
+		{"choice", "Replica choice against random, round robin and least outstanding.", Choice},
+		{"retries", "Load on a service that fails wholly.", Retries},
+		{"overhead", "Time that an entry host adds.", Overhead},
+	}
+}
+
+const (
+	shards      = 20
+	serviceTime = 40 * time.Millisecond
+	spread      = 0.3
+	runTime     = 6 * time.Second
+	// warmTime fills connections and estimates before a measurement.
+	warmTime = 3 * time.Second
+	// capacity is what 20 shards of 2 replicas with 2 slots can answer a second
+	// at the mean service time, exp(spread²/2) times the median.
+	capacity = 4 / (0.040 * 1.046)
+)
+
+// deskLayout is a front desk of the Guild: 20 shards, 2 replicas each, 2
+// slots, 25 connections that cost 6 ms, in 4 failure domains.
+func deskLayout(hosts int, policy entry.Policy) fleet.Layout {
+	return fleet.Layout{
+		Domains: []string{"Kochi", "Kollam", "Kannur", "Kasaragod"},
+		Hosts:   hosts,
+		Policy:  policy,
+		Ranks:   []service.Rank{{Name: "Urgent", SharePercent: 10}, {Name: "Normal", SharePercent: 10}, {Name: "Late", SharePercent: 10}},
+		Services: map[string]fleet.ServiceLayout{
+			"Desk": {
+				Shards: shards, Replicas: 2, Slots: 2, Connections: 25,
+				Kinds: []service.Kind{
+					{Name: "Urgent", Rank: "Urgent", DeadlineMillis: 500, Idempotent: true, MinCoveragePercent: 100},
+					{Name: "Normal", Rank: "Normal", DeadlineMillis: 1000, Idempotent: true, MinCoveragePercent: 100},
+					{Name: "Late", Rank: "Late", DeadlineMillis: 3000, Idempotent: true, MinCoveragePercent: 100},
+				},
+				Model: standin.Model{Queue: 0, ConnectionCost: 6 * time.Millisecond, ServiceTime: serviceTime, Spread: spread, Seed: 1},
+			},
+		},
+	}
+}
+
+func urls(running *fleet.Fleet) []string {
+	var all []string
+	for _, host := range running.Hosts {
+		all = append(all, host.URL)
+	}
+	return all
+}
+
+func send(ctx context.Context, running *fleet.Fleet, streams ...load.Stream) []*load.Result {
+	runner := &load.Runner{URLs: urls(running), Client: fleet.Client}
+	return runner.Run(ctx, streams)
+}
+
+func stream(kind string, rate float64, length time.Duration) load.Stream {
+	return load.Stream{Service: "Desk", Kind: kind, Rate: rate, Length: length, Seed: 7}
+}
+
+// records adds up what the backend servers have done.
+func records(running *fleet.Fleet) standin.ServerRecord {
+	var total standin.ServerRecord
+	for _, server := range running.Servers {
+		record := server.Record()
+		total.Runs += record.Runs
+		total.Shed += record.Shed
+		total.Cancelled += record.Cancelled
+		total.Connections += record.Connections
+		total.MostInFlight = max(total.MostInFlight, record.MostInFlight)
+		total.MostOpen = max(total.MostOpen, record.MostOpen)
+	}
+	return total
+}
+
+func millis(duration time.Duration) string {
+	return fmt.Sprintf("%.1f ms", float64(duration.Microseconds())/1000)
+}
+
+// withFleet runs use on a warm fleet.
+func withFleet(ctx context.Context, layout fleet.Layout, use func(*fleet.Fleet) error) error {
+	running, err := fleet.Start(layout)
+	if err != nil {
+		return err
+	}
+	defer running.Close()
+	send(ctx, running, stream("Normal", capacity/4, warmTime))
+	return use(running)
+}
--- /dev/null
+++ b/experiment/slots.go
@@ -0,0 +1,91 @@
+package experiment
+
+import (
+	"context"
+	"fmt"
+
+	"fescuehall/entry"
+	"fescuehall/fleet"
+	"fescuehall/load"
+	"fescuehall/standin"
+)
+
+// slotOutcome is what one way of keeping the slots gave.
+type slotOutcome struct {
+	result *load.Result
+	calm   *load.Result
+	before standin.ServerRecord
+	after  standin.ServerRecord
+}
+
+// Slots measures fronting by one host against direct calls from all.
+func Slots(ctx context.Context) ([]Row, error) {
+	ours, err := slots(ctx, entry.Policy{})
+	if err != nil {
+		return nil, err
+	}
+	direct, err := slots(ctx, entry.Policy{Direct: true})
+	if err != nil {
+		return nil, err
+	}
+	return slotRows(ours, direct), nil
+}
+
+// slots offers 1.5 times the capacity to servers that take more than their
+// slots, so that an overshoot shows.
+func slots(ctx context.Context, policy entry.Policy) (*slotOutcome, error) {
+	layout := deskLayout(8, policy)
+	desk := layout.Services["Desk"]
+	desk.Model.Slots = 64
+	layout.Services["Desk"] = desk
+	outcome := &slotOutcome{}
+	err := withFleet(ctx, layout, func(running *fleet.Fleet) error {
+		outcome.calm = send(ctx, running, stream("Normal", capacity/4, runTime))[0]
+		outcome.before = records(running)
+		outcome.result = send(ctx, running, stream("Normal", 1.5*capacity, runTime))[0]
+		outcome.after = records(running)
+		return nil
+	})
+	return outcome, err
+}
+
+func slotRows(ours, direct *slotOutcome) []Row {
+	opened := func(outcome *slotOutcome) int { return outcome.after.Connections - outcome.before.Connections }
+	return []Row{
+		{
+			Case:     "Most requests in flight at a backend server with 2 slots, 8 hosts, 1.5 times capacity",
+			Baseline: fmt.Sprint(direct.after.MostInFlight),
+			Ours:     fmt.Sprint(ours.after.MostInFlight),
+			Target:   "2",
+			Held:     ours.after.MostInFlight <= 2,
+		},
+		{
+			Case:     "Whole answers a second at 1.5 times capacity, of capacity",
+			Baseline: fmt.Sprintf("%.0f%%", 100*direct.result.Goodput()/capacity),
+			Ours:     fmt.Sprintf("%.0f%%", 100*ours.result.Goodput()/capacity),
+			Target:   "at least 90%",
+			Held:     ours.result.Goodput() >= 0.9*capacity,
+		},
+		{
+			Case:     "Most connections open at a backend server that bears 25",
+			Baseline: fmt.Sprint(direct.after.MostOpen),
+			Ours:     fmt.Sprint(ours.after.MostOpen),
+			Target:   "at most 25",
+			Held:     ours.after.MostOpen <= 25,
+		},
+		{
+			Case:     "New connections for each 1,000 sub-requests under full demand",
+			Baseline: fmt.Sprintf("%.1f", 1000*float64(opened(direct))/float64(max(1, direct.after.Runs-direct.before.Runs))),
+			Ours:     fmt.Sprintf("%.1f", 1000*float64(opened(ours))/float64(max(1, ours.after.Runs-ours.before.Runs))),
+			Target:   "near none (under 1)",
+			Held:     float64(opened(ours)) < float64(ours.after.Runs-ours.before.Runs)/1000,
+		},
+		{
+			Case:     "Median latency at a quarter of capacity (the hop's cost)",
+			Baseline: millis(direct.calm.Quantile(50)),
+			Ours:     millis(ours.calm.Quantile(50)),
+			Target:   "within 2 ms of direct",
+			Held:     ours.calm.Quantile(50)-direct.calm.Quantile(50) <= 2*msec,
+		},
+	}
+}
--- a/front/front.go
+++ b/front/front.go
@@ -112,7 +112,7 @@
 
 // enter waits for a slot.
 func enter(ctx context.Context, queue *rank.Queue, request *message.SubRequest, deadline time.Time) error {
-	item := &rank.Item{Rank: request.Rank, Started: request.StartedMicros, Deadline: deadline}
+	item := &rank.Item{Rank: request.Rank, Started: request.StartedMicros, Deadline: deadline, OnlyFree: request.Hedge}
 	queue.Add(item)
 	select {
 	case err := <-item.Outcome():
@@ -136,7 +136,9 @@
 		desk.queue.Done(0)
 		return Refuse(request, verdict.New(verdict.NotRun, verdict.DeadlinePassed, "deadline passed before sending to %s", request.Replica))
 	}
-	limited, cancel := context.WithTimeout(ctx, left)
+	// A search that is withdrawn goes on: to cut its connection would cost a new
+	// one, and the slot would be given out while the server still works.
+	limited, cancel := context.WithTimeout(context.WithoutCancel(ctx), left)
 	defer cancel()
 	found, err := front.search(limited, desk.client, searchOf(request, left))
 	took := front.Now().Sub(started)
--- a/message/message.go
+++ b/message/message.go
@@ -177,6 +177,9 @@
 	// Time left when sent, in microseconds.
 	BudgetMicros int64 `json:"BudgetMicros"`
 
+	// Set on a second try beside a running one; it is served only from a free slot.
+	Hedge bool `json:"Hedge"`
+
 	// Whether a second run is harmless.
 	Idempotent bool `json:"Idempotent"`
 
--- a/message/message_gen.go
+++ b/message/message_gen.go
@@ -1005,13 +1005,16 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *SubRequest) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 14
+	// map header, size 15
 	// string "Attempt"
-	o = append(o, 0x8e, 0xa7, 0x41, 0x74, 0x74, 0x65, 0x6d, 0x70, 0x74)
+	o = append(o, 0x8f, 0xa7, 0x41, 0x74, 0x74, 0x65, 0x6d, 0x70, 0x74)
 	o = msgp.AppendInt(o, z.Attempt)
 	// string "BudgetMicros"
 	o = append(o, 0xac, 0x42, 0x75, 0x64, 0x67, 0x65, 0x74, 0x4d, 0x69, 0x63, 0x72, 0x6f, 0x73)
 	o = msgp.AppendInt64(o, z.BudgetMicros)
+	// string "Hedge"
+	o = append(o, 0xa5, 0x48, 0x65, 0x64, 0x67, 0x65)
+	o = msgp.AppendBool(o, z.Hedge)
 	// string "Idempotent"
 	o = append(o, 0xaa, 0x49, 0x64, 0x65, 0x6d, 0x70, 0x6f, 0x74, 0x65, 0x6e, 0x74)
 	o = msgp.AppendBool(o, z.Idempotent)
@@ -1081,6 +1084,12 @@
 				err = msgp.WrapError(err, "BudgetMicros")
 				return
 			}
+		case "Hedge":
+			z.Hedge, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Hedge")
+				return
+			}
 		case "Idempotent":
 			z.Idempotent, bts, err = msgp.ReadBoolBytes(bts)
 			if err != nil {
@@ -1167,6 +1176,6 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *SubRequest) Msgsize() (s int) {
-	s = 1 + 8 + msgp.IntSize + 13 + msgp.Int64Size + 11 + msgp.BoolSize + 5 + msgp.StringPrefixSize + len(z.Kind) + 6 + msgp.IntSize + 5 + msgp.IntSize + 8 + msgp.BoolSize + 8 + msgp.StringPrefixSize + len(z.Replica) + 10 + msgp.StringPrefixSize + len(z.RequestID) + 8 + msgp.StringPrefixSize + len(z.Service) + 6 + msgp.IntSize + 9 + msgp.StringPrefixSize + len(z.Snapshot) + 14 + msgp.Int64Size + 5 + msgp.StringPrefixSize + len(z.Text)
+	s = 1 + 8 + msgp.IntSize + 13 + msgp.Int64Size + 6 + msgp.BoolSize + 11 + msgp.BoolSize + 5 + msgp.StringPrefixSize + len(z.Kind) + 6 + msgp.IntSize + 5 + msgp.IntSize + 8 + msgp.BoolSize + 8 + msgp.StringPrefixSize + len(z.Replica) + 10 + msgp.StringPrefixSize + len(z.RequestID) + 8 + msgp.StringPrefixSize + len(z.Service) + 6 + msgp.IntSize + 9 + msgp.StringPrefixSize + len(z.Snapshot) + 14 + msgp.Int64Size + 5 + msgp.StringPrefixSize + len(z.Text)
 	return
 }
--- a/query/query.go
+++ b/query/query.go
@@ -44,8 +44,14 @@
 	Now func() time.Time
 	// After returns a channel that yields after a time, and stops it.
 	After func(wait time.Duration) (<-chan time.Time, func() bool)
+	// Pick chooses a replica; Picker.Pick unless a baseline is measured.
+	Pick func(addresses []string) int
 	// Hedge switches hedging on.
 	Hedge bool
+	// NoLimits, OneRank and NoBudget are baselines, see entry.Policy.
+	NoLimits bool
+	OneRank  bool
+	NoBudget bool
 	// Log is told of each request and of each exceptional decision.
 	Log func(format string, args ...any)
 	// Observe is told of each answer.
@@ -109,6 +115,9 @@
 	}
 	job := &job{request: request, view: view, service: found, kind: kind, started: started}
 	job.rank = view.Rank(kind.Rank)
+	if coordinator.OneRank {
+		job.rank = 0
+	}
 	job.deadline = started.Add(budget(request, kind))
 	job.load = coordinator.loadOf(request.Service, len(view.Ranks))
 	return job, nil
@@ -125,13 +134,15 @@
 
 // admitted serves a request within the limits for its rank.
 func (coordinator *Coordinator) admitted(ctx context.Context, job *job) *answer.Answer {
-	limiter := job.load.limiters[job.rank]
-	if err := limiter.Enter(); err != nil {
-		return coordinator.failed(job.request, job, verdict.Of(err))
+	if !coordinator.NoLimits {
+		limiter := job.load.limiters[job.rank]
+		if err := limiter.Enter(); err != nil {
+			return coordinator.failed(job.request, job, verdict.Of(err))
+		}
+		defer func() {
+			limiter.Leave(rank.Outcome{Pressed: job.wasPressed(), Took: coordinator.Now().Sub(job.started)})
+		}()
 	}
-	defer func() {
-		limiter.Leave(rank.Outcome{Pressed: job.wasPressed(), Took: coordinator.Now().Sub(job.started)})
-	}()
 	ctx, cancel := context.WithDeadline(ctx, job.deadline.Add(-replyMargin))
 	defer cancel()
 	if job.kind.Idempotent {
--- a/query/shard.go
+++ b/query/shard.go
@@ -19,6 +19,7 @@
 	place   int
 	address string
 	started time.Time
+	hedge   bool
 	cancel  context.CancelFunc
 }
 
@@ -48,7 +49,7 @@
 	run := &shardRun{coordinator: coordinator, job: job, shard: shard, replies: make(chan ended, maxTries)}
 	run.open = coordinator.candidates(job, shard)
 	defer run.cancelAll()
-	if !run.start(ctx) {
+	if !run.start(ctx, false) {
 		return shardOutcome{shard: shard, failure: verdict.New(verdict.NotRun, verdict.NoReplica, "shard %d has no replica that takes work", shard)}
 	}
 	hedge, stop := run.hedgeTimer()
@@ -60,6 +61,9 @@
 			if failure == nil {
 				return shardOutcome{shard: shard, results: resultsOf(ended.reply)}
 			}
+			if ended.try.hedge && run.running > 0 {
+				continue
+			}
 			if run.retry(ctx, failure) || run.running > 0 {
 				continue
 			}
@@ -101,7 +105,7 @@
 }
 
 // start sends the next try. It returns false when no replica is left.
-func (run *shardRun) start(ctx context.Context) bool {
+func (run *shardRun) start(ctx context.Context, hedge bool) bool {
 	if run.attempts >= maxTries {
 		return false
 	}
@@ -109,7 +113,7 @@
 	for place, candidate := range run.open {
 		addresses[place] = candidate.Address
 	}
-	place := run.coordinator.Picker.Pick(addresses)
+	place := run.coordinator.Pick(addresses)
 	if place < 0 {
 		return false
 	}
@@ -118,9 +122,10 @@
 	run.attempts++
 	run.running++
 	ctx, cancel := context.WithCancel(ctx)
-	started := &try{place: run.attempts, address: chosen.Address, started: run.coordinator.Now(), cancel: cancel}
+	started := &try{place: run.attempts, address: chosen.Address, started: run.coordinator.Now(), hedge: hedge, cancel: cancel}
 	run.tries = append(run.tries, started)
 	request := run.request(chosen)
+	request.Hedge = hedge
 	go func() {
 		run.replies <- ended{try: started, reply: run.coordinator.Send(ctx, request)}
 	}()
@@ -166,7 +171,7 @@
 		run.job.load.delay.Add(took)
 		run.job.trace.add(reply, took)
 	}
-	if run.pressed(reply, failure) {
+	if !ended.try.hedge && run.pressed(reply, failure) {
 		run.job.press()
 	}
 	ended.try.cancel = nil
@@ -215,11 +220,11 @@
 	if failure.Code == verdict.DeadlinePassed || len(run.open) == 0 || ctx.Err() != nil {
 		return false
 	}
-	if !run.job.load.retries.Take() {
+	if !run.job.load.retries.Take() && !run.coordinator.NoBudget {
 		return false
 	}
 	run.coordinator.Log("Request %s shard %d is tried again after %s.", run.job.request.RequestID, run.shard, failure.Code)
-	return run.start(ctx)
+	return run.start(ctx, false)
 }
 
 // hedgeTimer yields when the first try is late.
@@ -232,11 +237,11 @@
 }
 
 func (run *shardRun) hedge(ctx context.Context) {
-	if len(run.open) == 0 || !run.job.load.hedges.Take() {
+	if len(run.open) == 0 || !run.job.load.hedges.Take() && !run.coordinator.NoBudget {
 		return
 	}
 	run.coordinator.Log("Request %s shard %d is hedged.", run.job.request.RequestID, run.shard)
-	run.start(ctx)
+	run.start(ctx, true)
 }
 
 // cancelAll withdraws the tries that are still running.
--- a/rank/queue.go
+++ b/rank/queue.go
@@ -18,6 +18,8 @@
 	Started int64
 	// Deadline is when the answer is worthless.
 	Deadline time.Time
+	// OnlyFree refuses the item unless a slot is free at once.
+	OnlyFree bool
 
 	place   int
 	outcome chan error
@@ -70,6 +72,10 @@
 	item.place = -1
 	item.outcome = make(chan error, 1)
 	queue.grow(item.Rank)
+	if item.OnlyFree && (queue.running >= queue.Slots || queue.count > 0) {
+		item.outcome <- verdict.New(verdict.NotRun, verdict.Overload, "no slot is free")
+		return
+	}
 	if failure := queue.infeasible(item, queue.ahead(item.Rank)); failure != nil {
 		item.outcome <- failure
 		return
--- a/replica/picker.go
+++ b/replica/picker.go
@@ -46,6 +46,7 @@
 // state is what this host knows of one replica.
 type state struct {
 	outstanding int
+	chosen      int
 	waiting     int
 	average     time.Duration
 	measured    time.Time
@@ -102,7 +103,10 @@
 
 // Start counts a try as outstanding.
 func (picker *Picker) Start(address string) {
-	picker.with(address, func(known *state) { known.outstanding++ })
+	picker.with(address, func(known *state) {
+		known.outstanding++
+		known.chosen++
+	})
 }
 
 func (picker *Picker) eligible(addresses []string) []int {
--- a/standin/server.go
+++ b/standin/server.go
@@ -62,12 +62,14 @@
 	OpenNow      int64
 	MostOpen     int64
 	MostInFlight int64
+	// BusyMicros adds up the time that slots were held, in microseconds.
+	BusyMicros int64
 	// Requests counts runs by request identity, while Keep is set.
 	Requests map[string]int
 }
 
-// Server is a backend server. Set the fields before Handler.
-type Server struct {
+// Model is how a backend server behaves.
+type Model struct {
 	// Slots is how many requests run at a time; more wait, up to Queue.
 	Slots int
 	// Queue is how many requests wait for a slot before the rest is shed.
@@ -82,14 +84,19 @@
 	Spread float64
 	// ColdTime is how long after the start requests take 5 times as long.
 	ColdTime time.Duration
-	// Snapshots are the snapshots that the server has.
-	Snapshots []string
 	// Seed makes the service times repeatable.
 	Seed uint64
-	// Instance is the process identity.
-	Instance string
 	// Keep records runs by request identity.
 	Keep bool
+}
+
+// Server is a backend server. Set the exported fields before Handler.
+type Server struct {
+	Model
+	// Snapshots are the snapshots that the server has.
+	Snapshots []string
+	// Instance is the process identity.
+	Instance string
 
 	started  time.Time
 	slots    chan struct{}
@@ -287,7 +294,13 @@
 
 // run does the work in a slot. It returns nil when the caller has gone.
 func (server *Server) run(request *http.Request, search *backend.Search, plan plan) *backend.Found {
-	defer func() { <-server.slots }()
+	began := time.Now()
+	defer func() {
+		server.mu.Lock()
+		server.record.BusyMicros += time.Since(began).Microseconds()
+		server.mu.Unlock()
+		<-server.slots
+	}()
 	server.begin(search, server.running.Add(1))
 	defer server.running.Add(-1)
 	pause(request, plan.service)
