rank: cut the limit after lost queries and estimate a rank's real pace

Cause: in the first 6 s of a flood of the most urgent, 26 whole answers a second of 96 came, and 12,936 sub-requests ran for 4,900 that were of use. A query that is refused or late on one shard wastes the other 19, and the limiter heard of late ones not at all, and cut by a tenth only. Less urgent ranks were refused at their deadline instead of on arrival: the queue estimated their wait from those ahead of them, though more urgent ones kept coming. Ruled out: the kept shares (the least urgent rank got its 10% throughout).

Change: a late part counts as a loss, losses cut the limit to 0.7, a query that can't reach its coverage ends at once, and a queue estimates a backlogged rank's wait from the time between its turns.

--- a/answer/merge.go
+++ b/answer/merge.go
@@ -50,6 +50,11 @@
 	merger.missing[shard] = failure
 }
 
+// Missed returns the number of shards known to be missing.
+func (merger *Merger) Missed() int {
+	return len(merger.missing)
+}
+
 // cut keeps the best results. Equal scores are ordered by identity, so that
 // the order does not depend on the order of arrival.
 func (merger *Merger) cut() {
@@ -81,7 +86,7 @@
 		}
 		failure := merger.missing[shard]
 		if failure == nil {
-			failure = verdict.New(verdict.MayHaveRun, verdict.DeadlinePassed, "no reply before the deadline")
+			failure = verdict.New(verdict.MayHaveRun, verdict.Cancelled, "withdrawn before its reply")
 		}
 		answer.Missing = append(answer.Missing, Missing{Shard: shard, Code: string(failure.Code), Verdict: failure.Verdict.String(), Detail: failure.Detail})
 	}
--- a/experiment/flood.go
+++ b/experiment/flood.go
@@ -13,6 +13,10 @@
 // floodFactor is the flood's rate as a multiple of the capacity.
 const floodFactor = 4
 
+// otherLoad is what each other rank offers, of capacity: the most urgent less
+// than its share, the others twice theirs.
+const otherLoad = 0.1
+
 // floodOutcome is what one policy gave under the three floods.
 type floodOutcome struct {
 	calm   *load.Result
@@ -41,7 +45,7 @@
 		for _, flooding := range kinds {
 			var streams []load.Stream
 			for _, kind := range kinds {
-				rate := capacity / 10
+				rate := capacity * otherLoad
 				if kind == flooding {
 					rate = capacity * floodFactor
 				}
--- a/query/query.go
+++ b/query/query.go
@@ -73,9 +73,9 @@
 	deadline  time.Time
 	snapshot  string
 	shards    [][]service.Replica
-	wasPress  bool
 	trace     trace
 	pressLock sync.Mutex
+	pressed   rank.Outcome
 }
 
 // Answer serves one request. It always returns an answer; a failure has a
@@ -140,7 +140,7 @@
 			return coordinator.failed(job.request, job, verdict.Of(err))
 		}
 		defer func() {
-			limiter.Leave(rank.Outcome{Pressed: job.wasPressed(), Took: coordinator.Now().Sub(job.started)})
+			limiter.Leave(job.outcome(coordinator.Now()))
 		}()
 	}
 	ctx, cancel := context.WithDeadline(ctx, job.deadline.Add(-replyMargin))
@@ -217,10 +217,20 @@
 		if !complete {
 			return merger, false
 		}
+		if job.hopeless(merger) {
+			break
+		}
 	}
 	return merger, true
 }
 
+// hopeless reports whether so many shards are missing that no answer can be
+// given, so that the rest is withdrawn at once.
+func (job *job) hopeless(merger *answer.Merger) bool {
+	asked := len(job.shards)
+	return (asked-merger.Missed())*100 < asked*job.kind.MinCoveragePercent
+}
+
 func (outcome shardOutcome) absent() bool {
 	return outcome.failure != nil && outcome.failure.Code == verdict.SnapshotMissing
 }
@@ -259,6 +269,7 @@
 		return merged
 	}
 	merged.Results = []answer.Result{}
+	merged.Verdict = merger.Verdict().String()
 	failure := verdict.New(merger.Verdict(), verdict.LowCoverage, "%d of %d shards covered, want %d percent", merged.ShardsCovered, merged.ShardsAsked, job.kind.MinCoveragePercent)
 	if merged.ShardsCovered == 0 && len(merged.Missing) > 0 {
 		failure.Code = verdict.Code(merged.Missing[0].Code)
@@ -295,15 +306,18 @@
 	return failed
 }
 
-// press records that a replica was short of slots for this request.
-func (job *job) press() {
+// press records how short of slots the replicas were for this request.
+func (job *job) press(outcome rank.Outcome) {
 	job.pressLock.Lock()
 	defer job.pressLock.Unlock()
-	job.wasPress = true
+	job.pressed.Pressed = job.pressed.Pressed || outcome.Pressed
+	job.pressed.Lost = job.pressed.Lost || outcome.Lost
 }
 
-func (job *job) wasPressed() bool {
+func (job *job) outcome(now time.Time) rank.Outcome {
 	job.pressLock.Lock()
 	defer job.pressLock.Unlock()
-	return job.wasPress
+	outcome := job.pressed
+	outcome.Took = now.Sub(job.started)
+	return outcome
 }
--- a/query/shard.go
+++ b/query/shard.go
@@ -6,6 +6,7 @@
 
 	"fescuehall/answer"
 	"fescuehall/message"
+	"fescuehall/rank"
 	"fescuehall/replica"
 	"fescuehall/service"
 	"fescuehall/verdict"
@@ -72,6 +73,7 @@
 			hedge = nil
 			run.hedge(ctx)
 		case <-ctx.Done():
+			job.press(rank.Outcome{Lost: run.late()})
 			return shardOutcome{shard: shard, failure: verdict.New(verdict.MayHaveRun, verdict.DeadlinePassed, "no reply before the deadline")}
 		}
 	}
@@ -171,22 +173,26 @@
 		run.job.load.delay.Add(took)
 		run.job.trace.add(reply, took)
 	}
-	if !ended.try.hedge && run.pressed(reply, failure) {
-		run.job.press()
+	if !ended.try.hedge {
+		run.job.press(run.pressed(reply, failure))
 	}
 	ended.try.cancel = nil
 	return failure
 }
 
-// pressed reports whether a reply shows that the replica is short of slots:
-// it refused, or the queue took a fair part of the time there was.
-func (run *shardRun) pressed(reply *message.SubReply, failure *verdict.Failure) bool {
-	if failure != nil && (failure.Code == verdict.Overload || failure.Code == verdict.Shed) {
-		return true
-	}
+// pressed tells from a reply how short of slots the replica is: it refused, or
+// the queue took a fair part of the time there was.
+func (run *shardRun) pressed(reply *message.SubReply, failure *verdict.Failure) rank.Outcome {
 	const queueShare = 4
 	whole := run.job.deadline.Sub(run.job.started)
-	return time.Duration(reply.QueueMicros)*time.Microsecond > whole/queueShare
+	queued := time.Duration(reply.QueueMicros) * time.Microsecond
+	refused := failure != nil && (failure.Code == verdict.Overload || failure.Code == verdict.Shed)
+	return rank.Outcome{Pressed: queued > whole/queueShare, Lost: refused}
+}
+
+// late reports whether the request's time is over, and not its caller gone.
+func (run *shardRun) late() bool {
+	return !run.coordinator.Now().Before(run.job.deadline.Add(-2 * replyMargin))
 }
 
 func (run *shardRun) note(address string, failure *verdict.Failure) {
--- a/rank/limiter.go
+++ b/rank/limiter.go
@@ -19,19 +19,27 @@
 	limit    float64
 	cutAt    time.Time
 	latency  time.Duration
+	// pressed is set once a replica was short of slots; until then the limit
+	// grows fast.
+	pressed bool
 }
 
 const (
-	startLimit = 16
+	startLimit = 8
 	minLimit   = 1
 	maxLimit   = 4096
-	cutFactor  = 0.9
+	// waitFactor cuts the limit after a long wait, lossFactor after a query that
+	// was refused or late, whose parts on other shards were wasted.
+	waitFactor = 0.9
+	lossFactor = 0.7
 )
 
 // Outcome is what a query met.
 type Outcome struct {
-	// Pressed is set when a replica refused a part for load or let it wait long.
+	// Pressed is set when a replica let a part wait long.
 	Pressed bool
+	// Lost is set when a part was refused for load or was not there in time.
+	Lost bool
 	// Took is the query's time, 0 when it says nothing of the service's speed.
 	Took time.Duration
 }
@@ -60,18 +68,35 @@
 	if outcome.Took > 0 {
 		limiter.latency += (outcome.Took - limiter.latency) / 8
 	}
-	if !outcome.Pressed {
+	if !outcome.Pressed && !outcome.Lost {
 		if used {
-			limiter.limit = min(maxLimit, limiter.limit+1/limiter.limit)
+			limiter.grow()
 		}
 		return
 	}
+	limiter.pressed = true
 	if now := limiter.Now(); now.Sub(limiter.cutAt) >= limiter.latency {
-		limiter.limit = max(minLimit, limiter.limit*cutFactor)
 		limiter.cutAt = now
+		limiter.cut(outcome.Lost)
 	}
 }
 
+func (limiter *Limiter) grow() {
+	step := 1.0
+	if limiter.pressed {
+		step = 1 / limiter.limit
+	}
+	limiter.limit = min(maxLimit, limiter.limit+step)
+}
+
+func (limiter *Limiter) cut(lost bool) {
+	factor := waitFactor
+	if lost {
+		factor = lossFactor
+	}
+	limiter.limit = max(minLimit, limiter.limit*factor)
+}
+
 // Limit returns the bound in force and the queries in flight.
 func (limiter *Limiter) Limit() (limit float64, inFlight int) {
 	limiter.mu.Lock()
--- a/rank/queue.go
+++ b/rank/queue.go
@@ -46,9 +46,16 @@
 	waiting []itemHeap
 	count   int
 	credit  []float64
+	pace    []pace
 	service time.Duration
 }
 
+// pace is how fast a rank is being served while it has items waiting.
+type pace struct {
+	last     time.Time
+	interval time.Duration
+}
+
 // defaultService stands for the service time before the first one is known.
 const defaultService = time.Millisecond
 
@@ -128,6 +135,7 @@
 	for len(queue.waiting) <= rank {
 		queue.waiting = append(queue.waiting, nil)
 		queue.credit = append(queue.credit, 0)
+		queue.pace = append(queue.pace, pace{})
 	}
 }
 
@@ -157,24 +165,31 @@
 	return count
 }
 
-// infeasible returns why an item with that many ahead can't be in time. The
-// rank's kept share bounds the wait from above.
+// infeasible returns why an item with that many ahead can't be in time.
 func (queue *Queue) infeasible(item *Item, ahead int) *verdict.Failure {
-	slotTime := queue.average() / time.Duration(queue.Slots)
-	wait := time.Duration(0)
-	if queue.running >= queue.Slots {
-		wait = slotTime * time.Duration(ahead+1)
-	}
-	if share := queue.share(item.Rank); share > 0 {
-		kept := slotTime * time.Duration((len(queue.waiting[item.Rank])+1)*100/share)
-		wait = min(wait, kept)
-	}
+	wait := queue.wait(item.Rank, ahead)
 	if queue.Now().Add(wait + queue.average()).After(item.Deadline) {
 		return verdict.New(verdict.NotRun, verdict.Overload, "%d requests ahead need %v, deadline is in %v", ahead, wait, item.Deadline.Sub(queue.Now()))
 	}
 	return nil
 }
 
+// wait estimates how long an item of the rank waits: for those ahead of it,
+// or, as more urgent ones keep coming, for its rank's turns. The rank's kept
+// share bounds the wait from above.
+func (queue *Queue) wait(rank, ahead int) time.Duration {
+	if queue.running < queue.Slots {
+		return 0
+	}
+	slotTime := queue.average() / time.Duration(queue.Slots)
+	waiting := time.Duration(len(queue.waiting[rank]))
+	wait := max(slotTime*time.Duration(ahead+1), queue.pace[rank].interval*waiting)
+	if share := queue.share(rank); share > 0 {
+		wait = min(wait, slotTime*(waiting+1)*100/time.Duration(share))
+	}
+	return wait
+}
+
 func (queue *Queue) share(rank int) int {
 	if rank < len(queue.Shares) {
 		return queue.Shares[rank]
@@ -215,9 +230,25 @@
 	queue.credit[chosen] = max(0, queue.credit[chosen]-1)
 	item := queue.waiting[chosen][0]
 	queue.remove(item)
+	queue.keepPace(chosen)
 	return item
 }
 
+// keepPace averages the time between an item's turn and the next of its rank.
+func (queue *Queue) keepPace(rank int) {
+	const weight = 4
+	pace := &queue.pace[rank]
+	now := queue.Now()
+	if !pace.last.IsZero() {
+		pace.interval += (now.Sub(pace.last) - pace.interval) / weight
+	}
+	pace.last = now
+	if len(queue.waiting[rank]) == 0 {
+		pace.last = time.Time{}
+		pace.interval = 0
+	}
+}
+
 func (queue *Queue) mostUrgent() int {
 	for rank := range queue.waiting {
 		if len(queue.waiting[rank]) > 0 {
