replica: forget old times before new samples are mixed in

Cause: a replica that was slow or failed once was hardly chosen again. The score halved an old time every 2 s, but the next sample was averaged with the time before halving, and an ejected replica kept its penalty beyond its ramp. The other decision packages get their tests with this change.

--- /dev/null
+++ b/rank/limiter_test.go
@@ -0,0 +1,65 @@
+package rank_test
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"fescuehall/rank"
+	"fescuehall/verdict"
+)
+
+// fill enters until the limiter refuses, and returns how many it let in.
+func fill(limiter *rank.Limiter) int {
+	count := 0
+	for limiter.Enter() == nil {
+		count++
+	}
+	return count
+}
+
+func TestLimiterRefusesAsNotRun(t *testing.T) {
+	limiter := &rank.Limiter{Now: newClock().Now}
+	qt.Assert(t, fill(limiter), qt.Equals, 8)
+	failure := verdict.Of(limiter.Enter())
+	qt.Assert(t, failure.Verdict, qt.Equals, verdict.NotRun)
+	qt.Assert(t, failure.Code, qt.Equals, verdict.Overload)
+}
+
+func TestLimiterFollowsOutcomes(t *testing.T) {
+	tests := []struct {
+		name    string
+		outcome rank.Outcome
+		times   int
+		want    int
+	}{
+		{name: "good answers let it grow while it is in use", times: 8, want: 10},
+		{name: "a loss cuts it", outcome: rank.Outcome{Lost: true}, times: 1, want: 6},
+		{name: "a long wait cuts it less", outcome: rank.Outcome{Pressed: true}, times: 1, want: 8},
+		{name: "losses in one query's time cut it once", outcome: rank.Outcome{Lost: true, Took: time.Second}, times: 8, want: 6},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			limiter := &rank.Limiter{Now: newClock().Now}
+			admitted := fill(limiter)
+			for range test.times {
+				limiter.Leave(test.outcome)
+			}
+			limit, inFlight := limiter.Limit()
+			qt.Assert(t, inFlight, qt.Equals, admitted-test.times)
+			qt.Assert(t, int(limit+0.99), qt.Equals, test.want, qt.Commentf("limit %v", limit))
+		})
+	}
+}
+
+func TestLimiterKeepsOneQuery(t *testing.T) {
+	clock := newClock()
+	limiter := &rank.Limiter{Now: clock.Now}
+	for range 100 {
+		qt.Assert(t, limiter.Enter(), qt.IsNil)
+		clock.now = clock.now.Add(time.Minute)
+		limiter.Leave(rank.Outcome{Lost: true, Took: time.Second})
+	}
+	qt.Assert(t, fill(limiter), qt.Equals, 1)
+}
--- /dev/null
+++ b/rank/queue_test.go
@@ -0,0 +1,175 @@
+package rank_test
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+
+	"fescuehall/rank"
+	"fescuehall/verdict"
+)
+
+// clock is a fake clock.
+type clock struct {
+	now time.Time
+}
+
+func (clock *clock) Now() time.Time { return clock.now }
+
+func newClock() *clock {
+	return &clock{now: time.Unix(1000, 0)}
+}
+
+// served returns the outcome of an item, or "waiting".
+func served(item *rank.Item) string {
+	select {
+	case err := <-item.Outcome():
+		if err == nil {
+			return "slot"
+		}
+		return string(verdict.Of(err).Code)
+	default:
+		return "waiting"
+	}
+}
+
+func add(queue *rank.Queue, clock *clock, itemRank int, deadline time.Duration) *rank.Item {
+	item := &rank.Item{Rank: itemRank, Started: clock.now.UnixMicro(), Deadline: clock.now.Add(deadline)}
+	queue.Add(item)
+	return item
+}
+
+func TestQueueServesMostUrgentFirst(t *testing.T) {
+	clock := newClock()
+	queue := &rank.Queue{Slots: 1, Now: clock.Now}
+	running := add(queue, clock, 2, time.Hour)
+	late := add(queue, clock, 2, time.Hour)
+	normal := add(queue, clock, 1, time.Hour)
+	urgent := add(queue, clock, 0, time.Hour)
+	qt.Assert(t, served(running), qt.Equals, "slot")
+	for _, item := range []*rank.Item{urgent, normal, late} {
+		qt.Assert(t, served(item), qt.Equals, "waiting")
+		queue.Done(time.Millisecond)
+		qt.Assert(t, served(item), qt.Equals, "slot")
+	}
+}
+
+func TestQueueOrdersARankByStart(t *testing.T) {
+	clock := newClock()
+	queue := &rank.Queue{Slots: 1, Now: clock.Now}
+	add(queue, clock, 0, time.Hour)
+	second := &rank.Item{Started: 20, Deadline: clock.now.Add(time.Hour)}
+	first := &rank.Item{Started: 10, Deadline: clock.now.Add(time.Hour)}
+	queue.Add(second)
+	queue.Add(first)
+	queue.Done(time.Millisecond)
+	qt.Assert(t, served(first), qt.Equals, "slot")
+	qt.Assert(t, served(second), qt.Equals, "waiting")
+}
+
+func TestQueueRefuses(t *testing.T) {
+	tests := []struct {
+		name     string
+		deadline time.Duration
+		onlyFree bool
+		want     string
+	}{
+		{name: "in time", deadline: time.Second, want: "waiting"},
+		{name: "can't be in time", deadline: 15 * time.Millisecond, want: "Overload"},
+		{name: "deadline has passed", deadline: -time.Millisecond, want: "Overload"},
+		{name: "wants a free slot", deadline: time.Second, onlyFree: true, want: "Overload"},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			clock := newClock()
+			queue := &rank.Queue{Slots: 1, Now: clock.Now}
+			add(queue, clock, 0, time.Hour)
+			queue.Done(10 * time.Millisecond)
+			add(queue, clock, 0, time.Hour)
+			item := &rank.Item{Deadline: clock.now.Add(test.deadline), OnlyFree: test.onlyFree}
+			queue.Add(item)
+			qt.Assert(t, served(item), qt.Equals, test.want)
+		})
+	}
+}
+
+func TestQueueEvictsWhatCanNoLongerBeInTime(t *testing.T) {
+	clock := newClock()
+	queue := &rank.Queue{Slots: 1, Now: clock.Now}
+	add(queue, clock, 0, time.Hour)
+	queue.Done(10 * time.Millisecond)
+	add(queue, clock, 0, time.Hour)
+	late := add(queue, clock, 1, 45*time.Millisecond)
+	qt.Assert(t, served(late), qt.Equals, "waiting")
+	for range 3 {
+		add(queue, clock, 0, time.Hour)
+	}
+	qt.Assert(t, served(late), qt.Equals, "Overload")
+}
+
+func TestQueueWithdraw(t *testing.T) {
+	clock := newClock()
+	queue := &rank.Queue{Slots: 1, Now: clock.Now}
+	running := add(queue, clock, 0, time.Hour)
+	waiting := add(queue, clock, 0, time.Hour)
+	qt.Assert(t, queue.Withdraw(waiting), qt.IsTrue)
+	qt.Assert(t, queue.Withdraw(waiting), qt.IsFalse)
+	qt.Assert(t, queue.Withdraw(running), qt.IsFalse)
+	queue.Done(time.Millisecond)
+	qt.Assert(t, queue.Running(), qt.Equals, 0)
+	qt.Assert(t, served(waiting), qt.Equals, "waiting")
+}
+
+func TestQueueRefusedItemCantBeWithdrawn(t *testing.T) {
+	clock := newClock()
+	queue := &rank.Queue{Slots: 1, Now: clock.Now}
+	add(queue, clock, 0, time.Hour)
+	kept := add(queue, clock, 0, time.Hour)
+	refused := add(queue, clock, 0, -time.Second)
+	qt.Assert(t, served(refused), qt.Equals, "Overload")
+	qt.Assert(t, queue.Withdraw(refused), qt.IsFalse)
+	queue.Done(time.Millisecond)
+	qt.Assert(t, served(kept), qt.Equals, "slot")
+}
+
+// A flood of one rank leaves every other backlogged rank its share, for any
+// shares and slots; and never are more slots given out than there are.
+func TestQueueKeepsShares(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		clock := newClock()
+		shares := rapid.SliceOfN(rapid.IntRange(0, 30), 3, 3).Draw(t, "shares")
+		slots := rapid.IntRange(1, 4).Draw(t, "slots")
+		queue := &rank.Queue{Slots: slots, Shares: shares, Now: clock.Now}
+		const turns = 1000
+		counts := make([]int, 3)
+		var waiting []*rank.Item
+		refill := func(itemRank int) { waiting = append(waiting, add(queue, clock, itemRank, 1000*time.Hour)) }
+		for itemRank := range counts {
+			for range 3 + slots {
+				refill(itemRank)
+			}
+		}
+		for range turns {
+			clock.now = clock.now.Add(time.Millisecond)
+			for place := 0; place < len(waiting); place++ {
+				if item := waiting[place]; served(item) == "slot" {
+					counts[item.Rank]++
+					waiting = append(waiting[:place], waiting[place+1:]...)
+					refill(item.Rank)
+					place--
+				}
+			}
+			if queue.Running() > slots {
+				t.Fatalf("%d slots in use of %d", queue.Running(), slots)
+			}
+			queue.Done(time.Millisecond)
+		}
+		for itemRank, share := range shares {
+			if want := turns*share/100 - 5; counts[itemRank] < want {
+				t.Fatalf("rank %d had %d turns of %d, want %d: %v", itemRank, counts[itemRank], turns, want, counts)
+			}
+		}
+	})
+}
--- /dev/null
+++ b/replica/marks_test.go
@@ -0,0 +1,74 @@
+package replica_test
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"fescuehall/message"
+	"fescuehall/replica"
+)
+
+func newMarks() (*replica.Marks, *clock, *[]message.Mark) {
+	clock := &clock{now: time.Unix(1000, 0)}
+	told := &[]message.Mark{}
+	marks := &replica.Marks{Now: clock.Now, Changed: func(mark message.Mark) { *told = append(*told, mark) }}
+	return marks, clock, told
+}
+
+func TestMarksStayAgainstContradiction(t *testing.T) {
+	tests := []struct {
+		name     string
+		instance string
+		after    time.Duration
+		ready    string
+		leaving  bool
+	}{
+		{name: "same process says ready at once", instance: "a", ready: "a", leaving: true},
+		{name: "unknown process says ready at once", ready: "a", leaving: true},
+		{name: "same process says ready 50 s later", instance: "a", after: 50 * time.Second, ready: "a", leaving: true},
+		{name: "same process says ready 61 s later", instance: "a", after: 61 * time.Second, ready: "a", leaving: false},
+		{name: "a new process is ready", instance: "a", ready: "b", leaving: false},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			marks, clock, _ := newMarks()
+			marks.Set("server", test.instance, replica.FromReply)
+			qt.Assert(t, marks.Leaving("server"), qt.IsTrue)
+			clock.now = clock.now.Add(test.after)
+			marks.Ready("server", test.ready)
+			qt.Assert(t, marks.Leaving("server"), qt.Equals, test.leaving)
+		})
+	}
+}
+
+func TestMarksMergeKeepsTheNewest(t *testing.T) {
+	marks, _, told := newMarks()
+	marks.Merge(message.Mark{Replica: "server", Sequence: 5})
+	marks.Merge(message.Mark{Replica: "server", Sequence: 4, Cleared: true})
+	qt.Assert(t, marks.Leaving("server"), qt.IsTrue)
+	marks.Merge(message.Mark{Replica: "server", Sequence: 6, Cleared: true})
+	qt.Assert(t, marks.Leaving("server"), qt.IsFalse)
+	qt.Assert(t, len(*told), qt.Equals, 2)
+}
+
+func TestMarksToldOnce(t *testing.T) {
+	marks, _, told := newMarks()
+	for range 3 {
+		marks.Set("server", "a", replica.FromReply)
+		marks.Set("server", "", replica.FromHostList)
+	}
+	qt.Assert(t, len(*told), qt.Equals, 1)
+	qt.Assert(t, len(marks.All()), qt.Equals, 1)
+}
+
+func TestAbsencesAreForgotten(t *testing.T) {
+	clock := &clock{now: time.Unix(1000, 0)}
+	absences := &replica.Absences{Now: clock.Now}
+	absences.Add("server", "S2")
+	qt.Assert(t, absences.Lacks("server", "S2"), qt.IsTrue)
+	qt.Assert(t, absences.Lacks("server", "S1"), qt.IsFalse)
+	clock.now = clock.now.Add(2 * time.Second)
+	qt.Assert(t, absences.Lacks("server", "S2"), qt.IsFalse)
+}
--- a/replica/picker.go
+++ b/replica/picker.go
@@ -139,11 +139,7 @@
 func (picker *Picker) score(address string) (score float64) {
 	now := picker.Now()
 	picker.with(address, func(known *state) {
-		average := float64(known.average)
-		for since := now.Sub(known.measured); since > forgetTime && average > 1; since -= forgetTime {
-			average /= 2
-		}
-		score = (average + 1) * float64(1+known.outstanding+known.waiting)
+		score = float64(known.expected(now)+1) * float64(1+known.outstanding+known.waiting)
 	})
 	return score
 }
@@ -180,16 +176,23 @@
 	})
 }
 
+// expected is the average time, halved for each forgetTime without a sample.
+func (known *state) expected(now time.Time) time.Duration {
+	halvings := now.Sub(known.measured) / forgetTime
+	return known.average >> min(halvings, 62)
+}
+
 func (known *state) sample(took time.Duration, now time.Time) {
-	if known.average == 0 {
-		known.average = took
+	expected := known.expected(now)
+	if expected <= time.Microsecond {
+		expected = took
 	}
-	known.average = time.Duration(decay*float64(known.average) + (1-decay)*float64(took))
+	known.average = time.Duration(decay*float64(expected) + (1-decay)*float64(took))
 	known.measured = now
 }
 
 func (known *state) atLeast(took time.Duration, now time.Time) {
-	if took > known.average {
+	if took > known.expected(now) {
 		known.sample(took, now)
 	}
 }
@@ -204,6 +207,8 @@
 	known.ejectedTo = now.Add(wait)
 	known.returned = known.ejectedTo
 	known.failures = 0
+	// The penalty served to avoid the replica; the ramp does that from now on.
+	known.average = 0
 }
 
 func (known *state) succeed(result Result, now time.Time) {
--- /dev/null
+++ b/retry/retry_test.go
@@ -0,0 +1,51 @@
+package retry_test
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+
+	"fescuehall/retry"
+)
+
+// Whatever the order of first and extra sub-requests, the extra ones never
+// exceed the ratio by more than the burst.
+func TestBudgetBoundsExtraLoad(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		budget := &retry.Budget{Ratio: 0.05, Burst: 20}
+		for _, count := range rapid.SliceOf(rapid.IntRange(0, 40)).Draw(t, "counts") {
+			budget.First(count)
+			for range count {
+				budget.Take()
+			}
+		}
+		first, extra, _ := budget.Counts()
+		if float64(extra) > 0.05*float64(first) {
+			t.Fatalf("%d extra sub-requests for %d first ones", extra, first)
+		}
+	})
+}
+
+func TestBudgetSavesUpToItsBurst(t *testing.T) {
+	budget := &retry.Budget{Ratio: 0.5, Burst: 3}
+	budget.First(100)
+	taken := 0
+	for budget.Take() {
+		taken++
+	}
+	qt.Assert(t, taken, qt.Equals, 3)
+}
+
+func TestDelayFollowsTheQuantile(t *testing.T) {
+	delay := &retry.Delay{Quantile: 95, Least: time.Millisecond}
+	_, known := delay.After()
+	qt.Assert(t, known, qt.IsFalse)
+	for place := range 500 {
+		delay.Add(time.Duration(place%100) * time.Millisecond)
+	}
+	after, known := delay.After()
+	qt.Assert(t, known, qt.IsTrue)
+	qt.Assert(t, after > 90*time.Millisecond && after < 99*time.Millisecond, qt.IsTrue, qt.Commentf("%v", after))
+}
