member: do not report a refuted rumour as a death

Cause: a host that woke from a freeze logged that it was dead itself; the refutation of a rumour was reported like news. Found by TestWokenHostSuspectsNobody, which failed on the tree before.

--- a/member/detector.go
+++ b/member/detector.go
@@ -135,6 +135,10 @@
 }
 
 func (detector *Detector) note(update message.MemberUpdate, now time.Time) {
+	if update.Name == detector.Self.Name {
+		detector.refute(update)
+		return
+	}
 	if detector.apply(update, now) {
 		detector.changes = append(detector.changes, update)
 	}
--- a/member/table.go
+++ b/member/table.go
@@ -81,9 +81,6 @@
 
 // apply merges an update. It reports whether anything changed.
 func (detector *Detector) apply(update message.MemberUpdate, now time.Time) bool {
-	if update.Name == detector.Self.Name {
-		return detector.refute(update)
-	}
 	known := detector.members[update.Name]
 	if known != nil && !supersedes(update, known.update) {
 		return false
@@ -105,13 +102,12 @@
 }
 
 // refute answers news that this host is not alive with a higher incarnation.
-func (detector *Detector) refute(update message.MemberUpdate) bool {
+func (detector *Detector) refute(update message.MemberUpdate) {
 	if update.State == Alive || update.Incarnation < detector.Self.Incarnation || detector.Self.State == Left {
-		return false
+		return
 	}
 	detector.Self.Incarnation = update.Incarnation + 1
 	detector.updates.add(detector.Self.Name, detector.Self, spread(len(detector.members)))
-	return true
 }
 
 // Host is a member as placement and operators see it.
