--- a/backend/client.go
+++ b/backend/client.go
@@ -36,16 +36,22 @@
 	conn atomic.Int64
 }
 
-// New returns a client with a connection pool of its own.
-func New(address string, connections int) *Client {
+// Dial opens a connection, like net.DialTimeout.
+type Dial func(network, address string, timeout time.Duration) (net.Conn, error)
+
+// New returns a client with a connection pool of its own. It dials with
+// net.DialTimeout when dial is nil.
+func New(address string, connections int, dial Dial) *Client {
+	if dial == nil {
+		dial = net.DialTimeout
+	}
 	client := &Client{Address: address, Connections: connections}
-	dialer := &net.Dialer{Timeout: dialTimeout}
 	transport := &http.Transport{
 		MaxConnsPerHost:     connections,
 		MaxIdleConnsPerHost: connections,
 		DisableCompression:  true,
-		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
-			conn, err := dialer.DialContext(ctx, network, address)
+		DialContext: func(_ context.Context, network, address string) (net.Conn, error) {
+			conn, err := dial(network, address, dialTimeout)
 			if err != nil {
 				return nil, err
 			}
--- a/entry/follow.go
+++ b/entry/follow.go
@@ -30,7 +30,7 @@
 	for ctx.Err() == nil {
 		if host.chosen() || time.Since(last) > idleListInterval {
 			last = time.Now()
-			list, err := store.Hosts(ctx, nil, host.Settings.HostListURL)
+			list, err := store.Hosts(ctx, host.platform, host.Settings.HostListURL)
 			if err == nil {
 				host.takeHosts(list)
 			}
--- a/entry/host.go
+++ b/entry/host.go
@@ -36,7 +36,10 @@
 	Policy Policy
 	// Sockets are used instead of opening those in the settings, when not nil.
 	Sockets *Sockets
+	// Dial opens all connections; net.DialTimeout when nil.
+	Dial func(network, address string, timeout time.Duration) (net.Conn, error)
 
+	platform    *http.Client
 	store       *store.Client
 	current     *relay.Current
 	loader      *relay.Loader
@@ -113,6 +116,9 @@
 	headerTimeout = 5 * time.Second
 	bodyTimeout   = 10 * time.Second
 	idleTimeout   = 2 * time.Minute
+	// platformConnections are kept to the store and the host list.
+	platformConnections = 16
+	platformDialTimeout = time.Second
 )
 
 // Sockets are what a host listens on.
@@ -149,7 +155,11 @@
 func (host *Host) build() {
 	host.log = host.Journal.Part("entry")
 	host.metrics = newMetrics()
-	host.store = &store.Client{BaseURL: host.Settings.StoreURL, HTTP: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 16}}}
+	if host.Dial == nil {
+		host.Dial = net.DialTimeout
+	}
+	host.platform = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: platformConnections, DialContext: host.dialPlatform}}
+	host.store = &store.Client{BaseURL: host.Settings.StoreURL, HTTP: host.platform}
 	host.marks = &replica.Marks{Now: time.Now, Changed: host.markChanged}
 	host.current = &relay.Current{Advanced: host.advanced}
 	host.loader = &relay.Loader{Get: host.store.Get, Current: host.current}
@@ -187,6 +197,7 @@
 		Marks: host.marks,
 		Now:   time.Now,
 		Log:   host.Journal.Part("front"),
+		Dial:  host.Dial,
 	}
 	claimer := &claim.Claimer{Host: host.Settings.Name, Nonce: nonce, Get: host.store.Get, Put: host.store.Put}
 	host.coordinator = &query.Coordinator{
@@ -230,6 +241,10 @@
 	host.gossip.Send(host.detector.Notify())
 }
 
+func (host *Host) dialPlatform(_ context.Context, network, address string) (net.Conn, error) {
+	return host.Dial(network, address, platformDialTimeout)
+}
+
 func nonce() string {
 	return fmt.Sprintf("%016x%016x", rand.Uint64(), rand.Uint64())
 }
--- a/entry/route.go
+++ b/entry/route.go
@@ -128,7 +128,7 @@
 	if known, ok := host.peers.Load(address); ok {
 		return known.(*link.Client)
 	}
-	known, _ := host.peers.LoadOrStore(address, &link.Client{Address: address})
+	known, _ := host.peers.LoadOrStore(address, &link.Client{Address: address, Dial: host.Dial})
 	return known.(*link.Client)
 }
 
--- a/experiment/overhead.go
+++ b/experiment/overhead.go
@@ -83,7 +83,7 @@
 func newDirect(running *fleet.Fleet) *direct {
 	made := &direct{clients: make([]*backend.Client, shards)}
 	for _, replica := range running.Configuration.Services["Desk"].Snapshots[0].Replicas {
-		made.clients[replica.Shard] = backend.New(replica.Address, 25)
+		made.clients[replica.Shard] = backend.New(replica.Address, 25, nil)
 	}
 	return made
 }
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -61,6 +61,7 @@
 	Servers       map[string]*standin.Server
 	Configuration *service.Configuration
 	StoreURL      string
+	Network       *Network
 
 	listURL   string
 	layout    Layout
@@ -74,13 +75,14 @@
 	// URL is the base URL for callers.
 	URL string
 
-	cancel context.CancelFunc
-	done   chan struct{}
+	cancel  context.CancelFunc
+	done    chan struct{}
+	sockets *entry.Sockets
 }
 
 // Start runs a fleet and puts its configuration in force.
 func Start(layout Layout) (*Fleet, error) {
-	fleet := &Fleet{Store: &standin.Store{}, HostList: &standin.HostList{}, Servers: make(map[string]*standin.Server), layout: layout}
+	fleet := &Fleet{Store: &standin.Store{}, HostList: &standin.HostList{}, Servers: make(map[string]*standin.Server), Network: &Network{}, layout: layout}
 	var err error
 	if fleet.StoreURL, err = fleet.serve(fleet.Store.Handler()); err != nil {
 		return nil, err
@@ -110,6 +112,7 @@
 	if err != nil {
 		return "", err
 	}
+	fleet.Network.place(listener.Addr().String(), Platform)
 	go (&http.Server{Handler: handler, ReadHeaderTimeout: readyTime}).Serve(listener)
 	return "http://" + listener.Addr().String(), nil
 }
@@ -124,6 +127,7 @@
 				return err
 			}
 			domain := fleet.layout.Domains[(place/layout.Replicas+place%layout.Replicas)%len(fleet.layout.Domains)]
+			fleet.Network.place(address, domain)
 			snapshot.Replicas = append(snapshot.Replicas, service.Replica{Address: address, FailureDomain: domain, Shard: place / layout.Replicas})
 		}
 		fleet.Configuration.Services[name] = service.Spec{Slots: layout.Slots, Connections: layout.Connections, Kinds: layout.Kinds, Snapshots: []service.Snapshot{snapshot}}
@@ -189,6 +193,8 @@
 }
 
 func (fleet *Fleet) startHost(listed store.Host, sockets *entry.Sockets) error {
+	fleet.Network.place(listed.Address, listed.FailureDomain)
+	sockets.Gossip = &cutSocket{PacketConn: sockets.Gossip, network: fleet.Network, domain: listed.FailureDomain}
 	settings := &setting.Settings{
 		Name:          listed.Name,
 		FailureDomain: listed.FailureDomain,
@@ -208,9 +214,9 @@
 		return err
 	}
 	ctx, cancel := context.WithCancel(context.Background())
-	started := &Host{Name: listed.Name, Settings: settings, URL: "http://" + settings.CallerAddress, cancel: cancel, done: make(chan struct{})}
+	started := &Host{Name: listed.Name, Settings: settings, URL: "http://" + settings.CallerAddress, cancel: cancel, done: make(chan struct{}), sockets: sockets}
 	fleet.Hosts = append(fleet.Hosts, started)
-	host := &entry.Host{Settings: settings, Journal: log, Policy: fleet.layout.Policy, Sockets: sockets}
+	host := &entry.Host{Settings: settings, Journal: log, Policy: fleet.layout.Policy, Sockets: sockets, Dial: fleet.Network.dialer(listed.FailureDomain)}
 	go func() {
 		defer close(started.done)
 		host.Run(ctx)
--- a/fleet/host.go
+++ b/fleet/host.go
@@ -61,3 +61,10 @@
 	_, err := host.Post("/v1/query", request, got)
 	return got, err
 }
+
+// Vanish closes the host's sockets and stops it without a word to its peers.
+func (host *Host) Vanish() {
+	host.sockets.Gossip.Close()
+	host.sockets.Callers.Close()
+	host.sockets.Peers.Close()
+}
--- a/front/front.go
+++ b/front/front.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"net"
 	"sync"
 	"time"
 
@@ -34,6 +35,8 @@
 	Now func() time.Time
 	// Search sends a search; the client's method when nil.
 	Search func(ctx context.Context, client *backend.Client, search *backend.Search) (*backend.Found, error)
+	// Dial opens connections to backend servers; net.DialTimeout when nil.
+	Dial func(network, address string, timeout time.Duration) (net.Conn, error)
 	// Log is told of exceptional decisions.
 	Log func(format string, args ...any)
 
@@ -71,7 +74,7 @@
 	if found == nil {
 		found = &desk{
 			queue:  &rank.Queue{Slots: limits.Slots, Shares: view.Shares(), Now: front.Now},
-			client: backend.New(address, limits.Connections),
+			client: backend.New(address, limits.Connections, front.Dial),
 		}
 		if shard.desks == nil {
 			shard.desks = make(map[string]*desk)
--- /dev/null
+++ b/link/link_test.go
@@ -0,0 +1,148 @@
+package link_test
+
+import (
+	"context"
+	"io"
+	"net"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"fescuehall/frame"
+	"fescuehall/link"
+	"fescuehall/verdict"
+)
+
+func listen(t *testing.T) net.Listener {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	qt.Assert(t, err, qt.IsNil)
+	t.Cleanup(func() { listener.Close() })
+	return listener
+}
+
+// serve runs a server that echoes, and holds requests with the body "hold"
+// until they are withdrawn.
+func serve(t *testing.T) (address string, withdrawn, broken chan string) {
+	listener := listen(t)
+	withdrawn, broken = make(chan string, 10), make(chan string, 10)
+	server := &link.Server{
+		Handle: func(ctx context.Context, request frame.Frame, reply link.Reply) {
+			if string(request.Body) == "hold" {
+				<-ctx.Done()
+				withdrawn <- string(request.Body)
+				return
+			}
+			reply(frame.SubReply, request.Body)
+		},
+		Broken: func(_ string, err error) { broken <- err.Error() },
+	}
+	go server.Run(listener)
+	return listener.Addr().String(), withdrawn, broken
+}
+
+func TestCallsShareAConnection(t *testing.T) {
+	address, _, _ := serve(t)
+	client := &link.Client{Address: address}
+	defer client.Close()
+	done := make(chan string, 50)
+	for place := range 50 {
+		body := string(rune('a' + place%26))
+		go func() {
+			reply, err := client.Call(context.Background(), frame.SubRequest, []byte(body))
+			if err != nil || string(reply.Body) != body {
+				done <- "wrong reply"
+				return
+			}
+			done <- ""
+		}()
+	}
+	for range 50 {
+		qt.Assert(t, <-done, qt.Equals, "")
+	}
+}
+
+func TestVerdictOfABrokenCall(t *testing.T) {
+	tests := []struct {
+		name    string
+		peer    func(net.Conn)
+		verdict verdict.Verdict
+		code    verdict.Code
+	}{
+		{name: "closed after the request was read", peer: func(conn net.Conn) { frame.Read(conn); conn.Close() }, verdict: verdict.MayHaveRun, code: verdict.ConnectionLost},
+		{name: "answers garbage", peer: func(conn net.Conn) { frame.Read(conn); io.WriteString(conn, "HTTP/1.1 200 OK\r\n\r\n") }, verdict: verdict.MayHaveRun, code: verdict.ConnectionLost},
+		{name: "answers half", peer: func(conn net.Conn) { frame.Read(conn); conn.Write([]byte{0, 0, 0, 9, 1}); conn.Close() }, verdict: verdict.MayHaveRun, code: verdict.ConnectionLost},
+		{name: "answers another call, then nothing", peer: func(conn net.Conn) {
+			other, _ := frame.Frame{Type: frame.SubReply, Correlation: 99}.Append(nil)
+			conn.Write(other)
+		}, verdict: verdict.MayHaveRun, code: verdict.Cancelled},
+		{name: "freezes", peer: func(net.Conn) {}, verdict: verdict.MayHaveRun, code: verdict.Cancelled},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			listener := listen(t)
+			go func() {
+				conn, err := listener.Accept()
+				if err == nil {
+					test.peer(conn)
+				}
+			}()
+			client := &link.Client{Address: listener.Addr().String()}
+			defer client.Close()
+			ctx, cancel := context.WithTimeout(context.Background(), 100*time.Millisecond)
+			defer cancel()
+			_, err := client.Call(ctx, frame.SubRequest, []byte("x"))
+			qt.Assert(t, verdict.Of(err).Verdict, qt.Equals, test.verdict, qt.Commentf("%v", err))
+			qt.Assert(t, verdict.Of(err).Code, qt.Equals, test.code, qt.Commentf("%v", err))
+		})
+	}
+}
+
+func TestNoPeerIsNotRun(t *testing.T) {
+	listener := listen(t)
+	listener.Close()
+	_, err := (&link.Client{Address: listener.Addr().String()}).Call(context.Background(), frame.SubRequest, nil)
+	qt.Assert(t, verdict.Of(err).Verdict, qt.Equals, verdict.NotRun)
+}
+
+// A dial that hangs keeps no call past its deadline.
+func TestHangingDial(t *testing.T) {
+	hang := make(chan struct{})
+	defer close(hang)
+	client := &link.Client{Address: "x", Dial: func(string, string, time.Duration) (net.Conn, error) {
+		<-hang
+		return nil, io.EOF
+	}}
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Millisecond)
+	defer cancel()
+	_, err := client.Call(ctx, frame.SubRequest, nil)
+	qt.Assert(t, verdict.Of(err).Verdict, qt.Equals, verdict.NotRun)
+}
+
+func TestWithdrawnCallIsCancelledAtThePeer(t *testing.T) {
+	address, withdrawn, _ := serve(t)
+	client := &link.Client{Address: address}
+	defer client.Close()
+	ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
+	defer cancel()
+	_, err := client.Call(ctx, frame.SubRequest, []byte("hold"))
+	qt.Assert(t, verdict.Of(err).Verdict, qt.Equals, verdict.MayHaveRun)
+	qt.Assert(t, <-withdrawn, qt.Equals, "hold")
+}
+
+func TestGarbageClosesOnlyItsConnection(t *testing.T) {
+	address, _, broken := serve(t)
+	client := &link.Client{Address: address}
+	defer client.Close()
+	_, err := client.Call(context.Background(), frame.SubRequest, []byte("x"))
+	qt.Assert(t, err, qt.IsNil)
+	conn, err := net.Dial("tcp", address)
+	qt.Assert(t, err, qt.IsNil)
+	defer conn.Close()
+	io.WriteString(conn, "GET / HTTP/1.1\r\n\r\n")
+	qt.Assert(t, <-broken, qt.Matches, `frame field "Version" has value .*`)
+	_, err = conn.Read(make([]byte, 1))
+	qt.Assert(t, err, qt.IsNotNil)
+	_, err = client.Call(context.Background(), frame.SubRequest, []byte("x"))
+	qt.Assert(t, err, qt.IsNil)
+}
--- a/standin/server.go
+++ b/standin/server.go
@@ -98,6 +98,7 @@
 	// Instance is the process identity.
 	Instance string
 
+	once     sync.Once
 	started  time.Time
 	slots    chan struct{}
 	waiting  atomic.Int64
@@ -111,13 +112,17 @@
 	record  ServerRecord
 }
 
-// Handler returns the HTTP interface of the server.
-func (server *Server) Handler() http.Handler {
+func (server *Server) prepare() {
 	server.started = time.Now()
 	server.slots = make(chan struct{}, server.Slots)
 	server.random = rand.New(rand.NewPCG(server.Seed, 1))
 	server.changed = make(chan struct{})
 	server.record.Requests = make(map[string]int)
+}
+
+// Handler returns the HTTP interface of the server.
+func (server *Server) Handler() http.Handler {
+	server.once.Do(server.prepare)
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /search", server.search)
 	mux.HandleFunc("GET /health", server.health)
@@ -135,6 +140,7 @@
 
 // SetFault replaces the fault in force.
 func (server *Server) SetFault(fault ServerFault) {
+	server.once.Do(server.prepare)
 	server.mu.Lock()
 	defer server.mu.Unlock()
 	server.fault = fault
