fleet: prove leaving servers, planned stops and configurations

Each source of leaving with the fronting host replaced meanwhile, a planned stop with requests in flight and traffic through other hosts, and configurations under cuts, dead watches, an older value after a restart, and a start without a store. Two restarts failed at first: with the host list empty or cut off and no Peers in the settings, a host knows nobody and takes an older value from the store for the newest.

The stand-in's crossed answer now carries the results of another request.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -37,6 +37,8 @@
 	Services map[string]ServiceLayout
 	// Policy of all hosts.
 	Policy entry.Policy
+	// BalancerLag is how long a stopping host goes on accepting.
+	BalancerLag time.Duration
 	// Log gets the hosts' logs; they are dropped when nil.
 	Log io.Writer
 }
@@ -64,6 +66,7 @@
 	Network       *Network
 
 	listURL   string
+	peers     []string
 	layout    Layout
 	listeners []net.Listener
 }
@@ -160,13 +163,16 @@
 			return err
 		}
 		sockets = append(sockets, opened)
+		fleet.peers = append(fleet.peers, opened.Peers.Addr().String())
 		listed = append(listed, store.Host{Name: fmt.Sprintf("host-%d", place+1), Role: store.RoleEntry, Address: opened.Peers.Addr().String(), FailureDomain: fleet.layout.Domains[place%len(fleet.layout.Domains)], State: store.StateLive})
 	}
 	fleet.HostList.Set(listed)
 	for place, host := range listed {
-		if err := fleet.startHost(host, sockets[place]); err != nil {
+		started, err := fleet.newHost(host, sockets[place])
+		if err != nil {
 			return err
 		}
+		fleet.Hosts = append(fleet.Hosts, started)
 	}
 	return nil
 }
@@ -192,7 +198,20 @@
 	return nil, fmt.Errorf("no port is free for TCP and UDP after %d tries", tries)
 }
 
-func (fleet *Fleet) startHost(listed store.Host, sockets *entry.Sockets) error {
+func reopenSockets(settings *setting.Settings) (*entry.Sockets, error) {
+	callers, err := net.Listen("tcp", settings.CallerAddress)
+	if err != nil {
+		return nil, err
+	}
+	peers, err := net.Listen("tcp", settings.PeerAddress)
+	if err != nil {
+		return nil, err
+	}
+	gossip, err := net.ListenPacket("udp", settings.PeerAddress)
+	return &entry.Sockets{Callers: callers, Peers: peers, Gossip: gossip}, err
+}
+
+func (fleet *Fleet) newHost(listed store.Host, sockets *entry.Sockets) (*Host, error) {
 	fleet.Network.place(listed.Address, listed.FailureDomain)
 	sockets.Gossip = &cutSocket{PacketConn: sockets.Gossip, network: fleet.Network, domain: listed.FailureDomain}
 	settings := &setting.Settings{
@@ -202,8 +221,9 @@
 		PeerAddress:   listed.Address,
 		StoreURL:      fleet.StoreURL,
 		HostListURL:   fleet.listURL + "/v1/hosts",
+		Peers:         fleet.peers,
 		MaxBodyBytes:  65536,
-		Stop:          &setting.Stop{BalancerLagMillis: 0, MaxMillis: 5000},
+		Stop:          &setting.Stop{BalancerLagMillis: int(fleet.layout.BalancerLag.Milliseconds()), MaxMillis: 5000},
 	}
 	out, level := fleet.layout.Log, "info"
 	if out == nil {
@@ -211,17 +231,16 @@
 	}
 	log, err := journal.New(out, level, "text")
 	if err != nil {
-		return err
+		return nil, err
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	started := &Host{Name: listed.Name, Settings: settings, URL: "http://" + settings.CallerAddress, cancel: cancel, done: make(chan struct{}), sockets: sockets}
-	fleet.Hosts = append(fleet.Hosts, started)
 	host := &entry.Host{Settings: settings, Journal: log, Policy: fleet.layout.Policy, Sockets: sockets, Dial: fleet.Network.dialer(listed.FailureDomain)}
 	go func() {
 		defer close(started.done)
 		host.Run(ctx)
 	}()
-	return nil
+	return started, nil
 }
 
 // configure submits the configuration and waits until every host is ready.
@@ -278,3 +297,18 @@
 		listener.Close()
 	}
 }
+
+// Restart starts a host again with its settings and addresses, after it has
+// stopped or vanished.
+func (fleet *Fleet) Restart(place int) error {
+	old := fleet.Hosts[place]
+	old.Stop()
+	sockets, err := reopenSockets(old.Settings)
+	if err != nil {
+		return err
+	}
+	listed := store.Host{Name: old.Name, Address: old.Settings.PeerAddress, FailureDomain: old.Settings.FailureDomain}
+	started, err := fleet.newHost(listed, sockets)
+	fleet.Hosts[place] = started
+	return err
+}
--- a/standin/server.go
+++ b/standin/server.go
@@ -39,7 +39,7 @@
 	// CutAt is one of the steps above, for CutShare of the requests.
 	CutAt    string
 	CutShare float64
-	// Cross answers with the identity of another request.
+	// Cross answers with the results of the request before.
 	Cross bool
 	// Double writes each answer twice.
 	Double bool
@@ -110,6 +110,7 @@
 	fault   ServerFault
 	changed chan struct{}
 	record  ServerRecord
+	kept    *backend.Found
 }
 
 func (server *Server) prepare() {
@@ -360,7 +361,7 @@
 		panic(http.ErrAbortHandler)
 	}
 	if plan.fault.Cross {
-		found.RequestID += "-other"
+		found = server.swap(found)
 	}
 	if plan.fault.Double {
 		writeTwice(writer, found)
@@ -369,6 +370,18 @@
 	writeJSON(writer, http.StatusOK, found)
 }
 
+// swap keeps an answer and returns the one kept before.
+func (server *Server) swap(found *backend.Found) *backend.Found {
+	server.mu.Lock()
+	defer server.mu.Unlock()
+	kept := server.kept
+	server.kept = found
+	if kept == nil {
+		return &backend.Found{RequestID: "none"}
+	}
+	return kept
+}
+
 func (server *Server) writeRefusal(writer http.ResponseWriter, refusal *backend.Refusal) {
 	status := http.StatusServiceUnavailable
 	if refusal.Code == string(verdict.SnapshotMissing) {
