front: revert the preemption of less urgent searches

A cancelled search costs a connection and its work, and a flood of the most urgent preempts just the searches that the kept shares let through. Conclusion: not by cancelling.

--- a/entry/host.go
+++ b/entry/host.go
@@ -65,8 +65,6 @@
 	// Direct calls backend servers from every host instead of through the one
 	// that fronts the replica.
 	Direct bool
-	// NoPreempt lets every search keep its slot.
-	NoPreempt bool
 	// NoHedge sends no hedges.
 	NoHedge bool
 	// NoLimits admits every query.
@@ -195,12 +193,11 @@
 
 func (host *Host) buildPath() {
 	host.front = &front.Front{
-		View:    host.current.View,
-		Marks:   host.marks,
-		Now:     time.Now,
-		Log:     host.Journal.Part("front"),
-		Dial:    host.Dial,
-		Preempt: !host.Policy.NoPreempt,
+		View:  host.current.View,
+		Marks: host.marks,
+		Now:   time.Now,
+		Log:   host.Journal.Part("front"),
+		Dial:  host.Dial,
 	}
 	claimer := &claim.Claimer{Host: host.Settings.Name, Nonce: nonce, Get: host.store.Get, Put: host.store.Put}
 	host.coordinator = &query.Coordinator{
--- a/front/front.go
+++ b/front/front.go
@@ -37,8 +37,6 @@
 	Search func(ctx context.Context, client *backend.Client, search *backend.Search) (*backend.Found, error)
 	// Dial opens connections to backend servers; net.DialTimeout when nil.
 	Dial func(network, address string, timeout time.Duration) (net.Conn, error)
-	// Preempt lets a more urgent request take the slot of a less urgent one.
-	Preempt bool
 	// Log is told of exceptional decisions.
 	Log func(format string, args ...any)
 
@@ -54,7 +52,6 @@
 type desk struct {
 	queue   *rank.Queue
 	client  *backend.Client
-	runners *runners
 	version uint64
 	lastUse time.Time
 }
@@ -76,9 +73,8 @@
 	}
 	if found == nil {
 		found = &desk{
-			queue:   &rank.Queue{Slots: limits.Slots, Shares: view.Shares(), Now: front.Now},
-			client:  backend.New(address, limits.Connections, front.Dial),
-			runners: newRunners(),
+			queue:  &rank.Queue{Slots: limits.Slots, Shares: view.Shares(), Now: front.Now},
+			client: backend.New(address, limits.Connections, front.Dial),
 		}
 		if shard.desks == nil {
 			shard.desks = make(map[string]*desk)
@@ -105,34 +101,22 @@
 		return Refuse(request, verdict.New(verdict.NotRun, verdict.NoReplica, "backend server %s is not in the configuration", request.Replica))
 	}
 	queued := front.Now()
-	reply, preempted := front.attempt(ctx, desk, request, deadline, request.Idempotent)
-	if preempted {
-		const yields = false
-		reply, _ = front.attempt(ctx, desk, request, deadline, yields)
-		reply.Verdict = max(reply.Verdict, int(verdict.MayHaveRun))
+	if err := enter(ctx, desk.queue, request, deadline); err != nil {
+		reply := Refuse(request, verdict.Of(err))
+		reply.Waiting = desk.queue.Waiting()
+		reply.QueueMicros = front.Now().Sub(queued).Microseconds()
+		return reply
 	}
+	reply := front.serve(ctx, desk, request, deadline)
 	reply.QueueMicros = front.Now().Sub(queued).Microseconds() - reply.ServiceMicros
 	reply.Waiting = desk.queue.Waiting()
 	return reply
 }
 
-// attempt queues for a slot and runs the search. It reports whether the search
-// lost its slot to a more urgent one, which happens only to one that yields.
-func (front *Front) attempt(ctx context.Context, desk *desk, request *message.SubRequest, deadline time.Time, yields bool) (*message.SubReply, bool) {
-	if err := front.enter(ctx, desk, request, deadline); err != nil {
-		return Refuse(request, verdict.Of(err)), false
-	}
-	return front.serve(ctx, desk, request, deadline, yields)
-}
-
 // enter waits for a slot.
-func (front *Front) enter(ctx context.Context, desk *desk, request *message.SubRequest, deadline time.Time) error {
-	queue := desk.queue
+func enter(ctx context.Context, queue *rank.Queue, request *message.SubRequest, deadline time.Time) error {
 	item := &rank.Item{Rank: request.Rank, Started: request.StartedMicros, Deadline: deadline, OnlyFree: request.Hedge}
 	queue.Add(item)
-	if front.Preempt && len(item.Outcome()) == 0 && desk.runners.preempt(request.Rank) {
-		front.Log("Request %s shard %d takes the slot of a less urgent one at %s.", request.RequestID, request.Shard, request.Replica)
-	}
 	select {
 	case err := <-item.Outcome():
 		return err
@@ -148,28 +132,20 @@
 }
 
 // serve runs a sub-request that holds a slot.
-func (front *Front) serve(ctx context.Context, desk *desk, request *message.SubRequest, deadline time.Time, yields bool) (*message.SubReply, bool) {
+func (front *Front) serve(ctx context.Context, desk *desk, request *message.SubRequest, deadline time.Time) *message.SubReply {
 	started := front.Now()
 	left := deadline.Sub(started)
 	if left <= 0 {
 		desk.queue.Done(0)
-		return Refuse(request, verdict.New(verdict.NotRun, verdict.DeadlinePassed, "deadline passed before sending to %s", request.Replica)), false
+		return Refuse(request, verdict.New(verdict.NotRun, verdict.DeadlinePassed, "deadline passed before sending to %s", request.Replica))
 	}
 	// A search that is withdrawn goes on: to cut its connection would cost a new
 	// one, and the slot would be given out while the server still works.
 	limited, cancel := context.WithTimeout(context.WithoutCancel(ctx), left)
 	defer cancel()
-	limited, lose := context.WithCancelCause(limited)
-	defer lose(nil)
-	search := &running{rank: request.Rank, yields: yields, started: started, cancel: lose}
-	desk.runners.start(search)
 	found, err := front.search(limited, desk.client, searchOf(request, left))
 	took := front.Now().Sub(started)
-	desk.runners.end(search)
 	release(limited, desk.queue, err, took)
-	if err != nil && context.Cause(limited) == errPreempted {
-		return nil, true
-	}
 	var reply *message.SubReply
 	if err != nil {
 		reply = front.failed(request, err)
@@ -177,7 +153,7 @@
 		reply = front.found(request, found)
 	}
 	reply.ServiceMicros = took.Microseconds()
-	return reply, false
+	return reply
 }
 
 func (front *Front) search(ctx context.Context, client *backend.Client, search *backend.Search) (*backend.Found, error) {
