member: test that a new host hears of marks

Taking out what tells marks to hosts that start did not fail the test of leaving servers, for news is still being passed on when the replaced host starts. The new test asks a minute later, in fake time, and fails without it.

--- a/member/detector_test.go
+++ b/member/detector_test.go
@@ -153,6 +153,19 @@
 	qt.Assert(t, large <= 1.1*small, qt.IsTrue, qt.Commentf("%.1f datagrams a second with 8 hosts, %.1f with 64", small, large))
 }
 
+// A host that starts long after a mark was passed on hears of it.
+func TestNewHostHearsOfMarks(t *testing.T) {
+	network := fleet.NewDetectors(6, 2, false)
+	welcoming := network.Nodes[1].Detector
+	welcoming.Marks = func() []message.Mark { return []message.Mark{{Replica: "server", Sequence: 1}} }
+	network.Run(time.Minute)
+	found := 0
+	for _, datagram := range welcoming.Receive(network.Now, &message.Gossip{Type: member.Join, From: network.Nodes[0].Detector.Self}) {
+		found += len(datagram.Gossip.Marks)
+	}
+	qt.Assert(t, found, qt.Equals, 1)
+}
+
 func TestMarksSpread(t *testing.T) {
 	network := fleet.NewDetectors(16, 4, false)
 	network.Run(time.Second)
--- a/patch/submit_test.go
+++ b/patch/submit_test.go
@@ -146,7 +146,7 @@
 			ctx := context.Background()
 			qt.Assert(t, operator(url).Submit(ctx, first()).Outcome, qt.Equals, patch.Accepted)
 			recorder := &recorder{start: time.Now()}
-			recorder.add(0, submission{id: "first"}, 0, patch.Reply{Outcome: patch.Accepted, Version: 1})
+			recorder.add(submission{id: "first"}, 0, patch.Reply{Outcome: patch.Accepted, Version: 1})
 			var group sync.WaitGroup
 			for client := range 4 {
 				group.Go(func() { race(ctx, url, client, recorder) })
@@ -168,7 +168,7 @@
 
 func (recorder *recorder) now() int64 { return time.Since(recorder.start).Nanoseconds() }
 
-func (recorder *recorder) add(client int, asked submission, call int64, reply patch.Reply) {
+func (recorder *recorder) add(asked submission, call int64, reply patch.Reply) {
 	recorder.mu.Lock()
 	defer recorder.mu.Unlock()
 	returned := recorder.now()
@@ -188,7 +188,7 @@
 		for range 3 {
 			call := recorder.now()
 			reply := operator(url).Submit(ctx, slots(asked.id, asked.against, 1+client))
-			recorder.add(client, asked, call, reply)
+			recorder.add(asked, call, reply)
 			if reply.Outcome != patch.Unknown {
 				believed = max(believed, reply.Version)
 				break
--- a/query/query_test.go
+++ b/query/query_test.go
@@ -54,7 +54,7 @@
 	rule  func(request *message.SubRequest) (*message.SubReply, error)
 }
 
-func (backends *backends) send(ctx context.Context, request *message.SubRequest) *message.SubReply {
+func (backends *backends) send(_ context.Context, request *message.SubRequest) *message.SubReply {
 	backends.mu.Lock()
 	backends.tries = append(backends.tries, request)
 	backends.mu.Unlock()
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -150,7 +150,7 @@
 	return store.Value{Content: content}, nil
 }
 
-func (heads *heads) watch(ctx context.Context, _ string, after uint64, wait time.Duration) (store.Value, error) {
+func (heads *heads) watch(_ context.Context, _ string, after uint64, wait time.Duration) (store.Value, error) {
 	heads.calls++
 	if heads.dead {
 		<-time.After(wait + 2*time.Second)
