replica: keep marks and absences in shards, each under its own lock

Both are looked up for each replica of each sub-request, under one lock until now. Tests that slept for an event now wait for it, and the racing operators draw the store's faults before each call.

--- a/backend/client_test.go
+++ b/backend/client_test.go
@@ -86,17 +86,17 @@
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	qt.Assert(t, err, qt.IsNil)
 	defer listener.Close()
+	reached := make(chan struct{}, 1)
 	go http.Serve(listener, http.HandlerFunc(func(_ http.ResponseWriter, request *http.Request) {
 		io.Copy(io.Discard, request.Body)
+		reached <- struct{}{}
 		<-request.Context().Done()
 	}))
 	client := backend.New(listener.Addr().String(), 1, nil)
 	held, release := context.WithCancel(context.Background())
 	defer release()
 	go client.Search(held, search("holds"))
-	for client.Opened() == 0 {
-		time.Sleep(time.Millisecond)
-	}
+	<-reached
 	ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
 	defer cancel()
 	_, err = client.Search(ctx, search("waits"))
--- a/patch/submit_test.go
+++ b/patch/submit_test.go
@@ -149,9 +149,9 @@
 			recorder.add(submission{id: "first"}, 0, patch.Reply{Outcome: patch.Accepted, Version: 1})
 			var group sync.WaitGroup
 			for client := range 4 {
-				group.Go(func() { race(ctx, url, client, recorder) })
+				random := rand.New(rand.NewPCG(seed, uint64(client)))
+				group.Go(func() { race(ctx, url, client, recorder, func() { store.SetFault(draw(random)) }) })
 			}
-			faults(store, seed)
 			group.Wait()
 			result := porcupine.CheckOperations(model.ToModel(), recorder.operations)
 			qt.Assert(t, result, qt.IsTrue, qt.Commentf("%+v", recorder.operations))
@@ -180,12 +180,14 @@
 }
 
 // race submits patches against what this operator believes is in force, and
-// asks again with the same identity after an unknown outcome.
-func race(ctx context.Context, url string, client int, recorder *recorder) {
+// asks again with the same identity after an unknown outcome. Before each call
+// the store gets another fault, which the other operators meet too.
+func race(ctx context.Context, url string, client int, recorder *recorder, spoil func()) {
 	believed := uint64(1)
 	for number := range 6 {
 		asked := submission{id: fmt.Sprintf("%d-%d", client, number), against: believed}
 		for range 3 {
+			spoil()
 			call := recorder.now()
 			reply := operator(url).Submit(ctx, slots(asked.id, asked.against, 1+client))
 			recorder.add(asked, call, reply)
@@ -197,22 +199,14 @@
 	}
 }
 
-func faults(store *standin.Store, seed uint64) {
-	random := rand.New(rand.NewPCG(seed, 99))
-	for range 30 {
-		time.Sleep(time.Duration(random.IntN(4)) * time.Millisecond)
-		switch random.IntN(4) {
-		case 0:
-			store.SetFault(standin.StoreFault{LoseReplies: 1 + random.IntN(3)})
-		case 1:
-			store.SetFault(standin.StoreFault{Stale: true})
-		case 2:
-			store.SetFault(standin.StoreFault{Outage: true})
-		default:
-			store.SetFault(standin.StoreFault{})
-		}
-	}
-	store.SetFault(standin.StoreFault{})
+// draw returns a fault of the store, or none.
+func draw(random *rand.Rand) standin.StoreFault {
+	return []standin.StoreFault{
+		{},
+		{LoseReplies: 1 + random.IntN(3)},
+		{Stale: true},
+		{Outage: true},
+	}[random.IntN(4)]
 }
 
 func TestPatchChanges(t *testing.T) {
--- a/replica/absence.go
+++ b/replica/absence.go
@@ -1,48 +1,43 @@
 package replica
 
-import (
-	"sync"
-	"time"
-)
+import "time"
 
-// absenceTime is how long a replica is not asked again for a snapshot that it
+// absenceTime is how long a holder is not asked again for a snapshot that it
 // did not have.
 const absenceTime = time.Second
 
-// Absences remembers which replicas lack which snapshots. Set Now before use.
+// Absences remembers which holders, replicas or whole services, lack which
+// snapshots. Set Now before use.
 type Absences struct {
 	// Now is the clock.
 	Now func() time.Time
 
-	mu    sync.Mutex
-	until map[absence]time.Time
+	until sharded[map[string]time.Time]
 }
 
-type absence struct {
-	address  string
-	snapshot string
-}
-
-// Add records that a replica lacks a snapshot.
-func (absences *Absences) Add(address, snapshot string) {
-	absences.mu.Lock()
-	defer absences.mu.Unlock()
+// Add records that a holder lacks a snapshot.
+func (absences *Absences) Add(holder, snapshot string) {
 	now := absences.Now()
-	if absences.until == nil {
-		absences.until = make(map[absence]time.Time)
-	}
-	for key, until := range absences.until {
-		if now.After(until) {
-			delete(absences.until, key)
+	absences.until.with(holder, func(holders map[string]map[string]time.Time) {
+		snapshots := holders[holder]
+		if snapshots == nil {
+			snapshots = make(map[string]time.Time)
+			holders[holder] = snapshots
+		}
+		for name, until := range snapshots {
+			if now.After(until) {
+				delete(snapshots, name)
+			}
 		}
-	}
-	absences.until[absence{address, snapshot}] = now.Add(absenceTime)
+		snapshots[snapshot] = now.Add(absenceTime)
+	})
 }
 
-// Lacks reports whether a replica lacked a snapshot a short while ago.
-func (absences *Absences) Lacks(address, snapshot string) bool {
-	absences.mu.Lock()
-	defer absences.mu.Unlock()
-	until, ok := absences.until[absence{address, snapshot}]
-	return ok && absences.Now().Before(until)
+// Lacks reports whether a holder lacked a snapshot a short while ago.
+func (absences *Absences) Lacks(holder, snapshot string) (lacks bool) {
+	absences.until.with(holder, func(holders map[string]map[string]time.Time) {
+		until, ok := holders[holder][snapshot]
+		lacks = ok && absences.Now().Before(until)
+	})
+	return lacks
 }
--- a/replica/marks.go
+++ b/replica/marks.go
@@ -1,7 +1,6 @@
 package replica
 
 import (
-	"sync"
 	"time"
 
 	"fescuehall/message"
@@ -27,60 +26,65 @@
 	// Changed is told of each mark that is new here, to pass it on.
 	Changed func(mark message.Mark)
 
-	mu    sync.Mutex
-	marks map[string]message.Mark
+	marks sharded[message.Mark]
 }
 
 // Leaving reports whether a backend server is to get no new work.
-func (marks *Marks) Leaving(address string) bool {
-	marks.mu.Lock()
-	defer marks.mu.Unlock()
-	mark, ok := marks.marks[address]
-	return ok && !mark.Cleared
+func (marks *Marks) Leaving(address string) (leaving bool) {
+	marks.marks.with(address, func(values map[string]message.Mark) {
+		mark, ok := values[address]
+		leaving = ok && !mark.Cleared
+	})
+	return leaving
+}
+
+// change replaces a mark by what decide returns, unless that reports false,
+// and passes the new one on.
+func (marks *Marks) change(address string, decide func(known message.Mark, ok bool) (message.Mark, bool)) {
+	var mark message.Mark
+	var changed bool
+	marks.marks.with(address, func(values map[string]message.Mark) {
+		known, ok := values[address]
+		if mark, changed = decide(known, ok); changed {
+			values[address] = mark
+		}
+	})
+	if changed && marks.Changed != nil {
+		marks.Changed(mark)
+	}
 }
 
 // Set records that a backend server is leaving.
 func (marks *Marks) Set(address, instance, source string) {
-	marks.mu.Lock()
-	known, ok := marks.marks[address]
-	if ok && !known.Cleared && (instance == "" || instance == known.Instance) {
-		marks.mu.Unlock()
-		return
-	}
-	mark := message.Mark{Replica: address, Instance: instance, Source: source, Sequence: marks.sequence(known)}
-	marks.store(mark)
-	marks.mu.Unlock()
-	marks.report(mark)
+	marks.change(address, func(known message.Mark, ok bool) (message.Mark, bool) {
+		if ok && !known.Cleared && (instance == "" || instance == known.Instance) {
+			return known, false
+		}
+		return message.Mark{Replica: address, Instance: instance, Source: source, Sequence: marks.sequence(known)}, true
+	})
 }
 
 // Repeat records that a source says again that a backend server is leaving. It
 // keeps a mark from growing old, and does not bring back one that was lifted.
 func (marks *Marks) Repeat(address string) {
-	marks.mu.Lock()
-	known, ok := marks.marks[address]
-	if !ok || known.Cleared || marks.age(known) < trustHealthAfter/2 {
-		marks.mu.Unlock()
-		return
-	}
-	known.Sequence = marks.sequence(known)
-	marks.store(known)
-	marks.mu.Unlock()
-	marks.report(known)
+	marks.change(address, func(known message.Mark, ok bool) (message.Mark, bool) {
+		if !ok || known.Cleared || marks.age(known) < trustHealthAfter/2 {
+			return known, false
+		}
+		known.Sequence = marks.sequence(known)
+		return known, true
+	})
 }
 
 // Ready records a ready health report. It lifts a mark of an earlier process,
 // or an old one.
 func (marks *Marks) Ready(address, instance string) {
-	marks.mu.Lock()
-	known, ok := marks.marks[address]
-	if !ok || known.Cleared || !marks.lifted(known, instance) {
-		marks.mu.Unlock()
-		return
-	}
-	mark := message.Mark{Replica: address, Instance: instance, Source: FromHealth, Cleared: true, Sequence: marks.sequence(known)}
-	marks.store(mark)
-	marks.mu.Unlock()
-	marks.report(mark)
+	marks.change(address, func(known message.Mark, ok bool) (message.Mark, bool) {
+		if !ok || known.Cleared || !marks.lifted(known, instance) {
+			return known, false
+		}
+		return message.Mark{Replica: address, Instance: instance, Source: FromHealth, Cleared: true, Sequence: marks.sequence(known)}, true
+	})
 }
 
 func (marks *Marks) lifted(known message.Mark, instance string) bool {
@@ -96,43 +100,24 @@
 
 // Merge takes a mark from a peer. The highest sequence wins.
 func (marks *Marks) Merge(mark message.Mark) {
-	marks.mu.Lock()
-	known, ok := marks.marks[mark.Replica]
-	if ok && known.Sequence >= mark.Sequence {
-		marks.mu.Unlock()
-		return
-	}
-	marks.store(mark)
-	marks.mu.Unlock()
-	marks.report(mark)
+	marks.change(mark.Replica, func(known message.Mark, ok bool) (message.Mark, bool) {
+		return mark, !ok || known.Sequence < mark.Sequence
+	})
 }
 
 // All returns the marks in force.
 func (marks *Marks) All() []message.Mark {
-	marks.mu.Lock()
-	defer marks.mu.Unlock()
 	var all []message.Mark
-	for _, mark := range marks.marks {
-		if !mark.Cleared {
-			all = append(all, mark)
+	marks.marks.each(func(values map[string]message.Mark) {
+		for _, mark := range values {
+			if !mark.Cleared {
+				all = append(all, mark)
+			}
 		}
-	}
+	})
 	return all
 }
 
 func (marks *Marks) sequence(known message.Mark) uint64 {
 	return max(known.Sequence+1, uint64(marks.Now().UnixMicro()))
 }
-
-func (marks *Marks) store(mark message.Mark) {
-	if marks.marks == nil {
-		marks.marks = make(map[string]message.Mark)
-	}
-	marks.marks[mark.Replica] = mark
-}
-
-func (marks *Marks) report(mark message.Mark) {
-	if marks.Changed != nil {
-		marks.Changed(mark)
-	}
-}
--- a/replica/picker.go
+++ b/replica/picker.go
@@ -4,14 +4,9 @@
 
 import (
 	"math/rand/v2"
-	"sync"
 	"time"
-
-	"github.com/cespare/xxhash/v2"
 )
 
-const stateShards = 64
-
 const (
 	// ejectAfter is the number of failures in a row that eject a replica.
 	ejectAfter = 3
@@ -35,12 +30,7 @@
 	// Random returns a number in [0, n).
 	Random func(n int) int
 
-	shards [stateShards]stateShard
-}
-
-type stateShard struct {
-	mu     sync.Mutex
-	states map[string]*state
+	states sharded[*state]
 }
 
 // state is what this host knows of one replica.
@@ -62,18 +52,14 @@
 }
 
 func (picker *Picker) with(address string, use func(*state)) {
-	shard := &picker.shards[xxhash.Sum64String(address)%stateShards]
-	shard.mu.Lock()
-	defer shard.mu.Unlock()
-	if shard.states == nil {
-		shard.states = make(map[string]*state)
-	}
-	known := shard.states[address]
-	if known == nil {
-		known = &state{}
-		shard.states[address] = known
-	}
-	use(known)
+	picker.states.with(address, func(states map[string]*state) {
+		known := states[address]
+		if known == nil {
+			known = &state{}
+			states[address] = known
+		}
+		use(known)
+	})
 }
 
 // Pick returns the place of the replica to try among addresses: the better of
