--- a/front/front.go
+++ b/front/front.go
@@ -103,13 +103,13 @@
 	queued := front.Now()
 	if err := enter(ctx, desk.queue, request, deadline); err != nil {
 		reply := Refuse(request, verdict.Of(err))
-		reply.Waiting = desk.queue.Ahead(request.Rank)
+		reply.Waiting = desk.queue.Waiting()
 		reply.QueueMicros = front.Now().Sub(queued).Microseconds()
 		return reply
 	}
 	reply := front.serve(ctx, desk, request, deadline)
 	reply.QueueMicros = front.Now().Sub(queued).Microseconds() - reply.ServiceMicros
-	reply.Waiting = desk.queue.Ahead(request.Rank)
+	reply.Waiting = desk.queue.Waiting()
 	return reply
 }
 
--- a/query/query.go
+++ b/query/query.go
@@ -45,7 +45,7 @@
 	// After returns a channel that yields after a time, and stops it.
 	After func(wait time.Duration) (<-chan time.Time, func() bool)
 	// Pick chooses a replica; Picker.Pick unless a baseline is measured.
-	Pick func(addresses []string, rank int) int
+	Pick func(addresses []string) int
 	// Hedge switches hedging on.
 	Hedge bool
 	// NoLimits, OneRank and NoBudget are baselines, see entry.Policy.
--- a/query/shard.go
+++ b/query/shard.go
@@ -115,7 +115,7 @@
 	for place, candidate := range run.open {
 		addresses[place] = candidate.Address
 	}
-	place := run.coordinator.Pick(addresses, run.job.rank)
+	place := run.coordinator.Pick(addresses)
 	if place < 0 {
 		return false
 	}
@@ -161,15 +161,14 @@
 	reply := ended.reply
 	took := run.coordinator.Now().Sub(ended.try.started)
 	failure := failureOf(run.job, run.shard, ended)
-	queued := time.Duration(reply.QueueMicros) * time.Microsecond
-	result := replica.Result{Took: max(0, took-queued), Waiting: reply.Waiting, Failed: failure != nil}
+	result := replica.Result{Took: took, Waiting: reply.Waiting, Failed: failure != nil}
 	if failure != nil {
 		result.Lost = failure.Code == verdict.Unreachable
 		run.joined = max(run.joined, failure.Verdict)
 		run.note(ended.try.address, failure)
 		result.Cancelled = failure.Code == verdict.Overload || failure.Code == verdict.SnapshotMissing
 	}
-	run.coordinator.Picker.Done(ended.try.address, run.job.rank, result)
+	run.coordinator.Picker.Done(ended.try.address, result)
 	if failure == nil {
 		run.job.load.delay.Add(took)
 		run.job.trace.add(reply, took)
@@ -258,7 +257,7 @@
 			continue
 		}
 		try.cancel()
-		run.coordinator.Picker.Done(try.address, run.job.rank, replica.Result{Took: run.coordinator.Now().Sub(try.started), Cancelled: true})
+		run.coordinator.Picker.Done(try.address, replica.Result{Took: run.coordinator.Now().Sub(try.started), Cancelled: true})
 	}
 }
 
--- a/rank/queue.go
+++ b/rank/queue.go
@@ -124,15 +124,6 @@
 	return queue.count
 }
 
-// Ahead returns how many items wait that are served before a new one of the
-// rank.
-func (queue *Queue) Ahead(rank int) int {
-	queue.mu.Lock()
-	defer queue.mu.Unlock()
-	queue.grow(rank)
-	return queue.ahead(rank)
-}
-
 // Running returns how many slots are in use.
 func (queue *Queue) Running() int {
 	queue.mu.Lock()
--- a/replica/baseline.go
+++ b/replica/baseline.go
@@ -9,17 +9,17 @@
 
 // Choice returns the named baseline's way to choose, or Pick for an empty
 // name.
-func (picker *Picker) Choice(name string) func(addresses []string, rank int) int {
+func (picker *Picker) Choice(name string) func(addresses []string) int {
 	choose := picker.baseline(name)
 	if choose == nil {
 		return picker.Pick
 	}
-	return func(addresses []string, rank int) int {
+	return func(addresses []string) int {
 		if len(addresses) == 0 {
 			return -1
 		}
 		chosen := choose(addresses)
-		picker.Start(addresses[chosen], rank)
+		picker.Start(addresses[chosen])
 		return chosen
 	}
 }
@@ -42,13 +42,7 @@
 }
 
 func (picker *Picker) leastOutstanding(addresses []string) int {
-	return picker.least(addresses, func(known *state) int {
-		total := 0
-		for _, count := range known.outstanding {
-			total += count
-		}
-		return total
-	})
+	return picker.least(addresses, func(known *state) int { return known.outstanding })
 }
 
 // least returns the place with the least measure, at random among equals.
--- a/replica/picker.go
+++ b/replica/picker.go
@@ -33,16 +33,11 @@
 	states sharded[*state]
 }
 
-// maxRanks is how many ranks are told apart, as many as a configuration has.
-const maxRanks = 8
-
 // state is what this host knows of one replica.
 type state struct {
-	// outstanding and waiting count by rank: a queue of less urgent work does not
-	// hold up more urgent work.
-	outstanding [maxRanks]int
-	waiting     [maxRanks]int
+	outstanding int
 	chosen      int
+	waiting     int
 	average     time.Duration
 	measured    time.Time
 	failures    int
@@ -67,18 +62,17 @@
 	})
 }
 
-// Pick returns the place of the replica to try among addresses for work of a
-// rank: the better of two at random, ejected ones only when there is no other.
-// It returns -1 when there is none, and counts the try as outstanding
-// otherwise.
-func (picker *Picker) Pick(addresses []string, rank int) int {
+// Pick returns the place of the replica to try among addresses: the better of
+// two at random, ejected ones only when there is no other. It returns -1 when
+// there is none, and counts the try as outstanding otherwise.
+func (picker *Picker) Pick(addresses []string) int {
 	if len(addresses) == 0 {
 		return -1
 	}
 	open := picker.eligible(addresses)
 	if len(open) == 0 {
 		chosen := picker.Random(len(addresses))
-		picker.Start(addresses[chosen], rank)
+		picker.Start(addresses[chosen])
 		return chosen
 	}
 	first := open[picker.Random(len(open))]
@@ -86,17 +80,17 @@
 	for len(open) > 1 && second == first {
 		second = open[picker.Random(len(open))]
 	}
-	if picker.score(addresses[second], rank) < picker.score(addresses[first], rank) {
+	if picker.score(addresses[second]) < picker.score(addresses[first]) {
 		first = second
 	}
-	picker.Start(addresses[first], rank)
+	picker.Start(addresses[first])
 	return first
 }
 
 // Start counts a try as outstanding.
-func (picker *Picker) Start(address string, rank int) {
+func (picker *Picker) Start(address string) {
 	picker.with(address, func(known *state) {
-		known.outstanding[rank]++
+		known.outstanding++
 		known.chosen++
 	})
 }
@@ -127,24 +121,20 @@
 	return picker.Random(steps) < max(steps/20, int(steps*since/rampTime))
 }
 
-// score is the expected time of one more try of a rank.
-func (picker *Picker) score(address string, rank int) (score float64) {
+// score is the expected time of one more try.
+func (picker *Picker) score(address string) (score float64) {
 	now := picker.Now()
 	picker.with(address, func(known *state) {
-		ahead := known.waiting[rank]
-		for _, count := range known.outstanding[:rank+1] {
-			ahead += count
-		}
-		score = float64(known.expected(now)+1) * float64(1+ahead)
+		score = float64(known.expected(now)+1) * float64(1+known.outstanding+known.waiting)
 	})
 	return score
 }
 
 // Result is how a try ended.
 type Result struct {
-	// Took is the time of the try without its time in the replica's queue.
+	// Took is the time of the try.
 	Took time.Duration
-	// Waiting is the length of the replica's queue for the rank, in the reply.
+	// Waiting is the length of the replica's queue in the reply.
 	Waiting int
 	// Failed is set when the replica did not answer, shed or refused.
 	Failed bool
@@ -156,10 +146,10 @@
 }
 
 // Done records the end of a try.
-func (picker *Picker) Done(address string, rank int, result Result) {
+func (picker *Picker) Done(address string, result Result) {
 	now := picker.Now()
 	picker.with(address, func(known *state) {
-		known.outstanding[rank]--
+		known.outstanding--
 		switch {
 		case result.Cancelled:
 			known.atLeast(result.Took, now)
@@ -167,7 +157,7 @@
 			known.sample(max(result.Took, failurePenalty), now)
 			known.fail(result.Lost, now)
 		default:
-			known.succeed(rank, result, now)
+			known.succeed(result, now)
 		}
 	})
 }
@@ -207,9 +197,9 @@
 	known.average = 0
 }
 
-func (known *state) succeed(rank int, result Result, now time.Time) {
+func (known *state) succeed(result Result, now time.Time) {
 	known.failures = 0
-	known.waiting[rank] = result.Waiting
+	known.waiting = result.Waiting
 	if now.Sub(known.returned) >= rampTime {
 		known.ejections = 0
 	}
@@ -228,9 +218,7 @@
 func (picker *Picker) Status(address string) Status {
 	status := Status{Address: address}
 	picker.with(address, func(known *state) {
-		for _, count := range known.outstanding {
-			status.Outstanding += count
-		}
+		status.Outstanding = known.outstanding
 		status.Average = known.average
 		status.Ejected = picker.Now().Before(known.ejectedTo)
 	})
