load: add a fault schedule and a plot, and finish relayed work at a stop

A planned stop waited for fronted work only; sub-requests that a leaving host passes on for peers, and replies still to be written, could be cut. It now counts peers' sub-requests and leaves 0.1 s for the last replies. Found by reading. A change of a service's Connections now reaches the replicas that a host fronts already.

--- a/capacity/control.go
+++ b/capacity/control.go
@@ -246,12 +246,21 @@
 	return float64(len(content)), err
 }
 
+// storeLayout is a fleet with one small service.
+func storeLayout(hosts int) fleet.Layout {
+	desk := fleet.ServiceLayout{Shards: 1, Replicas: 1, Slots: 1, Connections: 2, Kinds: []service.Kind{{Name: "Lookup", Rank: "Urgent", DeadlineMillis: 100, Idempotent: true}}}
+	return fleet.Layout{
+		Domains:  []string{"a", "b", "c", "d"},
+		Hosts:    hosts,
+		Ranks:    []service.Rank{{Name: "Urgent"}},
+		Services: map[string]fleet.ServiceLayout{"Desk": desk},
+	}
+}
+
 // storeCalls counts the calls a second of a fleet of real hosts in the steady
 // state, each waiting watch included.
 func storeCalls(hosts int) (float64, error) {
-	running, err := fleet.Start(fleet.Layout{Domains: []string{"a", "b", "c", "d"}, Hosts: hosts, Ranks: []service.Rank{{Name: "Urgent"}}, Services: map[string]fleet.ServiceLayout{
-		"Desk": {Shards: 1, Replicas: 1, Slots: 1, Connections: 2, Kinds: []service.Kind{{Name: "Lookup", Rank: "Urgent", DeadlineMillis: 100, Idempotent: true}}},
-	}})
+	running, err := fleet.Start(storeLayout(hosts))
 	if err != nil {
 		return 0, err
 	}
@@ -265,9 +274,7 @@
 
 // storeRestart counts the calls for each host when all start at once.
 func storeRestart(hosts int) (float64, error) {
-	running, err := fleet.Start(fleet.Layout{Domains: []string{"a", "b", "c", "d"}, Hosts: hosts, Ranks: []service.Rank{{Name: "Urgent"}}, Services: map[string]fleet.ServiceLayout{
-		"Desk": {Shards: 1, Replicas: 1, Slots: 1, Connections: 2, Kinds: []service.Kind{{Name: "Lookup", Rank: "Urgent", DeadlineMillis: 100, Idempotent: true}}},
-	}})
+	running, err := fleet.Start(storeLayout(hosts))
 	if err != nil {
 		return 0, err
 	}
--- a/capacity/slope.go
+++ b/capacity/slope.go
@@ -129,6 +129,11 @@
 		}
 		joined.Slopes = append(joined.Slopes, slope)
 	}
+	for _, slope := range newer.Slopes {
+		if len(data.Find(slope.Name).Sizes) == 0 {
+			joined.Slopes = append(joined.Slopes, slope)
+		}
+	}
 	return &joined
 }
 
--- a/command/load.go
+++ b/command/load.go
@@ -21,6 +21,8 @@
 	Length  time.Duration `default:"10s" help:"Length of streams that name none, at most 10m."`
 	Seed    uint64        `default:"1" help:"Seed of the arrivals."`
 	Records []string      `help:"Record URLs of stand-in backend servers, to check the answers against."`
+	At      []string      `sep:"none" placeholder:"TIME=URL=JSON" help:"Fault to post to a stand-in at a time, such as 2s=http://127.0.0.1:20000/fault={\"Drain\":true}. May be given several times."`
+	Plot    string        `type:"path" help:"File for a plot of the latencies, .svg or .png."`
 	Once    []string      `help:"Kinds that are not idempotent, for the check."`
 }
 
@@ -45,12 +47,40 @@
 	if len(traffic.Records) > 0 {
 		runner.Checker = traffic.checker()
 	}
-	if err := load.Table(os.Stdout, runner.Run(ctx, streams)); err != nil {
+	if err := traffic.faults(runner); err != nil {
+		return &ExitError{Code: ExitUsage, Detail: err.Error()}
+	}
+	results, err := runner.Run(ctx, streams)
+	if err != nil {
+		return err
+	}
+	if err := traffic.show(results); err != nil {
 		return err
 	}
 	return verify(runner)
 }
 
+func (traffic *traffic) faults(runner *load.Runner) error {
+	for _, text := range traffic.At {
+		fault, err := load.ParseFault(text)
+		if err != nil {
+			return err
+		}
+		runner.Faults = append(runner.Faults, fault)
+	}
+	return nil
+}
+
+func (traffic *traffic) show(results []*load.Result) error {
+	if err := load.Table(os.Stdout, results); err != nil {
+		return err
+	}
+	if traffic.Plot == "" {
+		return nil
+	}
+	return load.Plot(traffic.Plot, results)
+}
+
 func (traffic *traffic) checker() *load.Checker {
 	checker := &load.Checker{Records: traffic.Records, Once: make(map[string]bool)}
 	for _, kind := range traffic.Once {
--- a/entry/host.go
+++ b/entry/host.go
@@ -57,6 +57,8 @@
 	fetching atomic.Bool
 	synced   atomic.Bool
 	stopping atomic.Bool
+	// handling counts the sub-requests of peers that are being served.
+	handling atomic.Int64
 	log      func(format string, args ...any)
 }
 
@@ -80,9 +82,13 @@
 // Run serves until ctx ends, then stops by plan.
 func (host *Host) Run(ctx context.Context) error {
 	host.build()
-	sockets, err := host.open()
-	if err != nil {
-		return err
+	sockets := host.Sockets
+	if sockets == nil {
+		opened, err := OpenSockets(host.Settings)
+		if err != nil {
+			return err
+		}
+		sockets = opened
 	}
 	background, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
@@ -134,19 +140,17 @@
 	sockets.Gossip.Close()
 }
 
-func (host *Host) open() (*Sockets, error) {
-	if host.Sockets != nil {
-		return host.Sockets, nil
-	}
+// OpenSockets listens on the addresses in the settings.
+func OpenSockets(settings *setting.Settings) (*Sockets, error) {
 	opened := &Sockets{}
 	var err error
-	if opened.Callers, err = net.Listen("tcp", host.Settings.CallerAddress); err != nil {
+	if opened.Callers, err = net.Listen("tcp", settings.CallerAddress); err != nil {
 		return nil, fmt.Errorf("setting CallerAddress: %w", err)
 	}
-	if opened.Peers, err = net.Listen("tcp", host.Settings.PeerAddress); err != nil {
+	if opened.Peers, err = net.Listen("tcp", settings.PeerAddress); err != nil {
 		return nil, fmt.Errorf("setting PeerAddress: %w", err)
 	}
-	if opened.Gossip, err = net.ListenPacket("udp", host.Settings.PeerAddress); err != nil {
+	if opened.Gossip, err = net.ListenPacket("udp", settings.PeerAddress); err != nil {
 		return nil, fmt.Errorf("setting PeerAddress: %w", err)
 	}
 	return opened, nil
--- a/entry/route.go
+++ b/entry/route.go
@@ -173,6 +173,8 @@
 }
 
 func (host *Host) handleSubRequest(ctx context.Context, request frame.Frame, reply link.Reply) {
+	host.handling.Add(1)
+	defer host.handling.Add(-1)
 	sub := &message.SubRequest{}
 	var out *message.SubReply
 	if _, err := sub.UnmarshalMsg(request.Body); err != nil {
--- a/entry/stop.go
+++ b/entry/stop.go
@@ -11,6 +11,9 @@
 	// listener closes.
 	handOverTime = 300 * time.Millisecond
 	idlePoll     = 10 * time.Millisecond
+	// flushTime lets the last replies to peers leave before their connections are
+	// closed.
+	flushTime = 100 * time.Millisecond
 )
 
 // stop ends a host by plan: it stops being ready, goes on until the balancer
@@ -30,13 +33,15 @@
 		host.log("Stop cuts callers' requests after %v.", longest)
 	}
 	host.finish(ctx)
+	pause(context.Background(), flushTime)
 	host.log("Stop took %v.", time.Since(began).Round(time.Millisecond))
 }
 
-// finish waits until no fronted replica has work in flight.
+// finish waits until no peer's sub-request and no fronted replica's work is in
+// flight.
 func (host *Host) finish(ctx context.Context) {
 	for ctx.Err() == nil {
-		busy := 0
+		busy := int(host.handling.Load())
 		for _, status := range host.front.Status() {
 			busy += status.Running + status.Waiting
 		}
--- a/experiment/experiment.go
+++ b/experiment/experiment.go
@@ -90,7 +90,8 @@
 
 func send(ctx context.Context, running *fleet.Fleet, streams ...load.Stream) []*load.Result {
 	runner := &load.Runner{URLs: urls(running), Client: fleet.Client, Name: fmt.Sprint(time.Now().UnixNano())}
-	return runner.Run(ctx, streams)
+	results, _ := runner.Run(ctx, streams)
+	return results
 }
 
 func stream(kind string, rate float64, length time.Duration) load.Stream {
--- a/experiment/handover.go
+++ b/experiment/handover.go
@@ -44,7 +44,11 @@
 		timer := time.AfterFunc(runTime/3, func() { end(gone) })
 		defer timer.Stop()
 		runner := &load.Runner{URLs: urls(running)[:7], Client: fleet.Client, Name: "handover"}
-		outcome.result = runner.Run(ctx, []load.Stream{stream("Normal", 0.6*capacity, runTime)})[0]
+		results, err := runner.Run(ctx, []load.Stream{stream("Normal", 0.6*capacity, runTime)})
+		if err != nil {
+			return err
+		}
+		outcome.result = results[0]
 		outcome.most = records(running).MostInFlight
 		return nil
 	})
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -198,19 +198,6 @@
 	return nil, fmt.Errorf("no port is free for TCP and UDP after %d tries", tries)
 }
 
-func reopenSockets(settings *setting.Settings) (*entry.Sockets, error) {
-	callers, err := net.Listen("tcp", settings.CallerAddress)
-	if err != nil {
-		return nil, err
-	}
-	peers, err := net.Listen("tcp", settings.PeerAddress)
-	if err != nil {
-		return nil, err
-	}
-	gossip, err := net.ListenPacket("udp", settings.PeerAddress)
-	return &entry.Sockets{Callers: callers, Peers: peers, Gossip: gossip}, err
-}
-
 func (fleet *Fleet) newHost(listed store.Host, sockets *entry.Sockets) (*Host, error) {
 	fleet.Network.place(listed.Address, listed.FailureDomain)
 	sockets.Gossip = &cutSocket{PacketConn: sockets.Gossip, network: fleet.Network, domain: listed.FailureDomain}
@@ -303,7 +290,7 @@
 func (fleet *Fleet) Restart(place int) error {
 	old := fleet.Hosts[place]
 	old.Stop()
-	sockets, err := reopenSockets(old.Settings)
+	sockets, err := entry.OpenSockets(old.Settings)
 	if err != nil {
 		return err
 	}
--- a/front/front.go
+++ b/front/front.go
@@ -6,6 +6,7 @@
 	"context"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -51,7 +52,7 @@
 // desk is the queue and the connections of one replica.
 type desk struct {
 	queue   *rank.Queue
-	client  *backend.Client
+	client  atomic.Pointer[backend.Client]
 	version uint64
 	lastUse time.Time
 }
@@ -72,10 +73,8 @@
 		return nil
 	}
 	if found == nil {
-		found = &desk{
-			queue:  &rank.Queue{Slots: limits.Slots, Shares: view.Shares(), Now: front.Now},
-			client: backend.New(address, limits.Connections, front.Dial),
-		}
+		found = &desk{queue: &rank.Queue{Slots: limits.Slots, Shares: view.Shares(), Now: front.Now}}
+		found.client.Store(backend.New(address, limits.Connections, front.Dial))
 		if shard.desks == nil {
 			shard.desks = make(map[string]*desk)
 		}
@@ -84,11 +83,21 @@
 	if ok && found.version != view.Version {
 		found.version = view.Version
 		found.queue.Limit(limits.Slots, view.Shares())
+		front.limitConnections(found, address, limits.Connections)
 	}
 	found.lastUse = front.Now()
 	return found
 }
 
+// limitConnections replaces a client whose limit has changed. Its searches in
+// flight end on the connections they have.
+func (front *Front) limitConnections(desk *desk, address string, connections int) {
+	if desk.client.Load().Connections == connections {
+		return
+	}
+	desk.client.Swap(backend.New(address, connections, front.Dial)).Close()
+}
+
 // Run serves one sub-request.
 func (front *Front) Run(ctx context.Context, request *message.SubRequest) *message.SubReply {
 	deadline := front.Now().Add(time.Duration(request.BudgetMicros) * time.Microsecond)
@@ -143,7 +152,7 @@
 	// one, and the slot would be given out while the server still works.
 	limited, cancel := context.WithTimeout(context.WithoutCancel(ctx), left)
 	defer cancel()
-	found, err := front.search(limited, desk.client, searchOf(request, left))
+	found, err := front.search(limited, desk.client.Load(), searchOf(request, left))
 	took := front.Now().Sub(started)
 	release(limited, desk.queue, err, took)
 	var reply *message.SubReply
@@ -245,7 +254,7 @@
 		shard := &front.shards[place]
 		shard.mu.Lock()
 		for address, desk := range shard.desks {
-			all = append(all, Status{Replica: address, Running: desk.queue.Running(), Waiting: desk.queue.Waiting(), Opened: desk.client.Opened()})
+			all = append(all, Status{Replica: address, Running: desk.queue.Running(), Waiting: desk.queue.Waiting(), Opened: desk.client.Load().Opened()})
 		}
 		shard.mu.Unlock()
 	}
--- a/front/health.go
+++ b/front/health.go
@@ -50,7 +50,7 @@
 	if desk == nil {
 		return
 	}
-	health, err := desk.client.Health(ctx)
+	health, err := desk.client.Load().Health(ctx)
 	if err != nil {
 		return
 	}
@@ -70,7 +70,7 @@
 		shard.mu.Lock()
 		for address, desk := range shard.desks {
 			if front.Now().Sub(desk.lastUse) > idleTime && desk.queue.Running()+desk.queue.Waiting() == 0 {
-				desk.client.Close()
+				desk.client.Load().Close()
 				delete(shard.desks, address)
 			}
 		}
--- a/load/load.go
+++ b/load/load.go
@@ -6,6 +6,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -84,19 +85,27 @@
 	Client *http.Client
 	// Checker checks the answers, when not nil.
 	Checker *Checker
+	// Faults are injected while the streams run.
+	Faults []Fault
 	// Name makes the identities of requests unique to a run.
 	Name string
 }
 
-// Run sends all streams and waits for their answers.
-func (runner *Runner) Run(ctx context.Context, streams []Stream) []*Result {
+// Run sends all streams and waits for their answers. The error tells of faults
+// that could not be injected.
+func (runner *Runner) Run(ctx context.Context, streams []Stream) ([]*Result, error) {
 	results := make([]*Result, len(streams))
+	failures := make([]error, len(runner.Faults))
+	began := time.Now()
 	var group sync.WaitGroup
 	for place, stream := range streams {
 		group.Go(func() { results[place] = runner.stream(ctx, stream) })
 	}
+	for place, fault := range runner.Faults {
+		group.Go(func() { failures[place] = fault.inject(ctx, runner.Client, began) })
+	}
 	group.Wait()
-	return results
+	return results, errors.Join(failures...)
 }
 
 // tally collects the outcomes of a stream.
