capacity: work out the page from measured slopes

Times that do not grow with size are bounded by their largest point instead of a line that falls by chance.

--- a/capacity/page.go
+++ b/capacity/page.go
@@ -111,8 +111,8 @@
 	return []Figure{
 		{Role: "member", Mechanism: "member.Detector", What: "memory", Sum: line(members, nodes) + " B", Value: members.At(nodes) / mega, Unit: "MB", Limit: 256},
 		{Role: "configuration", Mechanism: "service.View, old and new at a change", What: "memory", Sum: "2 × " + line(view, allReplicas) + " B", Value: 2 * view.At(allReplicas) / mega, Unit: "MB", Limit: 256},
-		{Role: "member", Mechanism: "probe every 0.4 s, 0.9 s to refute, notices", What: "time until a killed host is held dead everywhere", Sum: line(detection, nodes) + " s", Value: detection.At(nodes), Unit: "s"},
-		{Role: "configuration", Mechanism: "3 notices from each host that learns, then probes", What: "time from one host to all, fetches not counted", Sum: line(spread, nodes) + " s", Value: spread.At(nodes), Unit: "s", Limit: 9},
+		{Role: "member", Mechanism: "probe every 0.4 s, 0.9 s to refute, notices", What: "time until a killed host is held dead everywhere", Sum: "larger of " + line(detection, nodes) + " s and the points", Value: detection.Bound(nodes), Unit: "s"},
+		{Role: "configuration", Mechanism: "3 notices from each host that learns, then probes", What: "time from one host to all, fetches not counted", Sum: "larger of " + line(spread, nodes) + " s and the points", Value: spread.Bound(nodes), Unit: "s", Limit: 9},
 	}
 }
 
--- a/capacity/slope.go
+++ b/capacity/slope.go
@@ -34,6 +34,16 @@
 	return slope.Base + slope.PerUnit*size
 }
 
+// Bound returns the fitted cost at a size, but no less than the largest point
+// measured: for costs that do not grow, whose line may fall by chance.
+func (slope Slope) Bound(size float64) float64 {
+	bound := slope.At(size)
+	for _, cost := range slope.Costs {
+		bound = math.Max(bound, cost)
+	}
+	return bound
+}
+
 // fit computes the least-squares line, relative to the points' own size, so
 // that the small sizes count as much as the large ones.
 func (slope Slope) fit() Slope {
