--- a/entry/host.go
+++ b/entry/host.go
@@ -19,6 +19,7 @@
 	"fescuehall/link"
 	"fescuehall/member"
 	"fescuehall/message"
+	"fescuehall/metric"
 	"fescuehall/patch"
 	"fescuehall/query"
 	"fescuehall/relay"
@@ -49,7 +50,7 @@
 	coordinator *query.Coordinator
 	submitter   *patch.Submitter
 	marks       *replica.Marks
-	metrics     *metrics
+	metrics     *metric.Host
 
 	placed   atomic.Pointer[placement]
 	peers    sync.Map
@@ -158,7 +159,7 @@
 
 func (host *Host) build() {
 	host.log = host.Journal.Part("entry")
-	host.metrics = newMetrics()
+	host.metrics = metric.New()
 	if host.Dial == nil {
 		host.Dial = net.DialTimeout
 	}
@@ -220,7 +221,7 @@
 		OneRank:  host.Policy.OneRank,
 		NoBudget: host.Policy.NoBudget,
 		Log:      host.Journal.Part("query"),
-		Observe:  host.metrics.observe,
+		Observe:  host.metrics.Observe,
 	}
 	host.coordinator.Pick = host.coordinator.Picker.Choice(host.Policy.Choice)
 }
@@ -232,7 +233,7 @@
 // advanced tells peers of a new configuration.
 func (host *Host) advanced(view *service.View, source string) {
 	host.log("Configuration version %d is in force, from %s.", view.Version, source)
-	host.metrics.version.Set(int64(view.Version))
+	host.metrics.Version.Set(int64(view.Version))
 	host.gossip.Send(host.detector.Notify())
 }
 
--- a/entry/metrics.go
+++ b/metric/metric.go
@@ -1,4 +1,6 @@
-package entry
+// Package metric holds the counters and latencies of an entry host, published
+// by expvar.
+package metric
 
 import (
 	"expvar"
@@ -15,12 +17,13 @@
 	latencyDigits    = 2
 )
 
-// metrics are the counters of one host. Names are service/rank.
-type metrics struct {
+// Host is the counters of one entry host. Names are service/rank.
+type Host struct {
+	// Version is the configuration version in force.
+	Version  *expvar.Int
 	requests *expvar.Map
 	failures *expvar.Map
 	partial  *expvar.Map
-	version  *expvar.Int
 
 	mu        sync.Mutex
 	latencies map[string]*hdrhistogram.Histogram
@@ -28,42 +31,42 @@
 
 var publishOnce sync.Once
 
-// newMetrics returns the metrics of a host; the first in a process are
-// published.
-func newMetrics() *metrics {
-	made := &metrics{
+// New returns the metrics of a host; the first in a process are published.
+func New() *Host {
+	made := &Host{
 		requests:  new(expvar.Map),
 		failures:  new(expvar.Map),
 		partial:   new(expvar.Map),
-		version:   new(expvar.Int),
+		Version:   new(expvar.Int),
 		latencies: make(map[string]*hdrhistogram.Histogram),
 	}
 	publishOnce.Do(func() {
 		expvar.Publish("Requests", made.requests)
 		expvar.Publish("Failures", made.failures)
 		expvar.Publish("PartialAnswers", made.partial)
-		expvar.Publish("ConfigurationVersion", made.version)
+		expvar.Publish("ConfigurationVersion", made.Version)
 		expvar.Publish("LatencyMillis", expvar.Func(made.quantiles))
 	})
 	return made
 }
 
-func (metrics *metrics) observe(serviceName, rankName string, took time.Duration, answer *answer.Answer) {
+// Observe counts one answer.
+func (host *Host) Observe(serviceName, rankName string, took time.Duration, answer *answer.Answer) {
 	name := serviceName + "/" + rankName
-	metrics.requests.Add(name, 1)
+	host.requests.Add(name, 1)
 	if answer.Code != "" {
-		metrics.failures.Add(name+"/"+answer.Code, 1)
+		host.failures.Add(name+"/"+answer.Code, 1)
 		return
 	}
 	if answer.ShardsCovered < answer.ShardsAsked {
-		metrics.partial.Add(name, 1)
+		host.partial.Add(name, 1)
 	}
-	metrics.mu.Lock()
-	defer metrics.mu.Unlock()
-	histogram := metrics.latencies[name]
+	host.mu.Lock()
+	defer host.mu.Unlock()
+	histogram := host.latencies[name]
 	if histogram == nil {
 		histogram = hdrhistogram.New(1, maxLatencyMicros, latencyDigits)
-		metrics.latencies[name] = histogram
+		host.latencies[name] = histogram
 	}
 	histogram.RecordValue(min(maxLatencyMicros, took.Microseconds()))
 }
@@ -76,11 +79,11 @@
 	P999  float64
 }
 
-func (metrics *metrics) quantiles() any {
-	metrics.mu.Lock()
-	defer metrics.mu.Unlock()
-	shown := make(map[string]Quantiles, len(metrics.latencies))
-	for name, histogram := range metrics.latencies {
+func (host *Host) quantiles() any {
+	host.mu.Lock()
+	defer host.mu.Unlock()
+	shown := make(map[string]Quantiles, len(host.latencies))
+	for name, histogram := range host.latencies {
 		shown[name] = Quantiles{
 			Count: histogram.TotalCount(),
 			P50:   float64(histogram.ValueAtQuantile(50)) / 1000,
