query: hedge after the 98th percentile and again when no slot is free

Cause: with 1 in 100 sub-requests 10 times slower the p99 was 4.3 times that without. The delay was the 95th percentile, so 5% of sub-requests asked for a budget of 4% and the slow ones were denied like the others; and a hedge that found no free slot was lost with its token.

Change: the 98th percentile; a hedge refused for want of a slot gives its token back and is tried again after 10 ms.

--- a/entry/host.go
+++ b/entry/host.go
@@ -215,7 +215,7 @@
 		Marks:    host.marks,
 		Absences: &replica.Absences{Now: time.Now},
 		Now:      time.Now,
-		After:    after,
+		After:    time.After,
 		Hedge:    !host.Policy.NoHedge,
 		NoLimits: host.Policy.NoLimits,
 		OneRank:  host.Policy.OneRank,
@@ -255,11 +255,6 @@
 	return fmt.Sprintf("%016x%016x", rand.Uint64(), rand.Uint64())
 }
 
-func after(wait time.Duration) (<-chan time.Time, func() bool) {
-	timer := time.NewTimer(wait)
-	return timer.C, timer.Stop
-}
-
 func pause(ctx context.Context, wait time.Duration) {
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
--- a/query/load.go
+++ b/query/load.go
@@ -9,10 +9,11 @@
 
 const (
 	// retryRatio and hedgeRatio add up to the extra load a service may get.
-	retryRatio  = 0.05
-	hedgeRatio  = 0.04
-	extraBurst  = 20
-	hedgeAfter  = 95
+	retryRatio = 0.05
+	hedgeRatio = 0.04
+	extraBurst = 20
+	// hedgeAfter is in percent: what is later than it costs less than hedgeRatio.
+	hedgeAfter  = 98
 	leastHedged = time.Millisecond
 )
 
--- a/query/query.go
+++ b/query/query.go
@@ -42,8 +42,8 @@
 	Absences *replica.Absences
 	// Now is the clock.
 	Now func() time.Time
-	// After returns a channel that yields after a time, and stops it.
-	After func(wait time.Duration) (<-chan time.Time, func() bool)
+	// After returns a channel that yields after a time, as time.After does.
+	After func(wait time.Duration) <-chan time.Time
 	// Pick chooses a replica; Picker.Pick unless a baseline is measured.
 	Pick func(addresses []string) int
 	// Hedge switches hedging on.
--- a/query/shard.go
+++ b/query/shard.go
@@ -13,12 +13,16 @@
 )
 
 // maxTries bounds the tries of one shard, hedges included.
-const maxTries = 3
+const maxTries = 6
+
+// hedgePause is the time until a hedge that found no free slot is tried again.
+const hedgePause = 10 * time.Millisecond
 
 // try is one sub-request on its way.
 type try struct {
 	place   int
 	address string
+	replica service.Replica
 	started time.Time
 	hedge   bool
 	cancel  context.CancelFunc
@@ -53,8 +57,7 @@
 	if !run.start(ctx, false) {
 		return shardOutcome{shard: shard, failure: verdict.New(verdict.NotRun, verdict.NoReplica, "shard %d has no replica that takes work", shard)}
 	}
-	hedge, stop := run.hedgeTimer()
-	defer stop()
+	hedge := run.hedgeTimer()
 	for {
 		select {
 		case ended := <-run.replies:
@@ -63,6 +66,7 @@
 				return shardOutcome{shard: shard, results: resultsOf(ended.reply)}
 			}
 			if ended.try.hedge && run.running > 0 {
+				hedge = run.hedgeAgain(ended.try, failure)
 				continue
 			}
 			if run.retry(ctx, failure) || run.running > 0 {
@@ -124,7 +128,7 @@
 	run.attempts++
 	run.running++
 	ctx, cancel := context.WithCancel(ctx)
-	started := &try{place: run.attempts, address: chosen.Address, started: run.coordinator.Now(), hedge: hedge, cancel: cancel}
+	started := &try{place: run.attempts, address: chosen.Address, replica: chosen, started: run.coordinator.Now(), hedge: hedge, cancel: cancel}
 	run.tries = append(run.tries, started)
 	request := run.request(chosen)
 	request.Hedge = hedge
@@ -234,14 +238,24 @@
 }
 
 // hedgeTimer yields when the first try is late.
-func (run *shardRun) hedgeTimer() (<-chan time.Time, func() bool) {
+func (run *shardRun) hedgeTimer() <-chan time.Time {
 	after, known := run.job.load.delay.After()
 	if !run.coordinator.Hedge || !known || !run.job.kind.Idempotent || len(run.open) == 0 {
-		return nil, func() bool { return false }
+		return nil
 	}
 	return run.coordinator.After(after)
 }
 
+// hedgeAgain yields when a hedge that found no free slot is to be tried again.
+func (run *shardRun) hedgeAgain(refused *try, failure *verdict.Failure) <-chan time.Time {
+	if failure.Verdict != verdict.NotRun || failure.Code != verdict.Overload {
+		return nil
+	}
+	run.job.load.hedges.Refund()
+	run.open = append(run.open, refused.replica)
+	return run.coordinator.After(hedgePause)
+}
+
 func (run *shardRun) hedge(ctx context.Context) {
 	if len(run.open) == 0 || !run.job.load.hedges.Take() && !run.coordinator.NoBudget {
 		return
--- a/retry/retry.go
+++ b/retry/retry.go
@@ -44,6 +44,14 @@
 	return true
 }
 
+// Refund gives back what Take took for a sub-request that did not run.
+func (budget *Budget) Refund() {
+	budget.mu.Lock()
+	defer budget.mu.Unlock()
+	budget.extra--
+	budget.tokens = min(budget.Burst, budget.tokens+1)
+}
+
 // Counts returns the first, extra and denied sub-requests so far.
 func (budget *Budget) Counts() (first, extra, denied uint64) {
 	budget.mu.Lock()
--- a/retry/retry_test.go
+++ b/retry/retry_test.go
@@ -38,6 +38,17 @@
 	qt.Assert(t, taken, qt.Equals, 3)
 }
 
+func TestRefundIsTakenAgain(t *testing.T) {
+	budget := &retry.Budget{Ratio: 1, Burst: 1}
+	budget.First(1)
+	qt.Assert(t, budget.Take(), qt.IsTrue)
+	qt.Assert(t, budget.Take(), qt.IsFalse)
+	budget.Refund()
+	qt.Assert(t, budget.Take(), qt.IsTrue)
+	_, extra, _ := budget.Counts()
+	qt.Assert(t, extra, qt.Equals, uint64(1))
+}
+
 func TestDelayFollowsTheQuantile(t *testing.T) {
 	delay := &retry.Delay{Quantile: 95, Least: time.Millisecond}
 	_, known := delay.After()
