--- /dev/null
+++ b/command/front.go
@@ -0,0 +1,38 @@
+package command
+
+import (
+	"os"
+
+	"fescuehall/logbook"
+	"fescuehall/platform"
+)
+
+func init() {
+	register("front", "Run an entry host on the platform, with the settings file that the platform names.", &front{})
+}
+
+type front struct {
+	Metrics string `help:"IP:port to serve metrics on; none when empty."`
+}
+
+// Run serves until the process is told to stop.
+func (front *front) Run() error {
+	path, err := platform.SettingsPath()
+	if err != nil {
+		return &ExitError{Code: ExitUsage, Detail: err.Error()}
+	}
+	settings, err := platform.LoadSettings(path)
+	if err != nil {
+		return &ExitError{Code: ExitUsage, Detail: err.Error()}
+	}
+	queue := logbook.NewQueue(os.Stdout)
+	defer queue.Close()
+	log, err := logbook.New(queue, "info", "json")
+	if err != nil {
+		return err
+	}
+	ctx, cancel := interrupted()
+	defer cancel()
+	host := &platform.Host{Settings: settings, Logbook: log, MetricsAddress: front.Metrics}
+	return host.Run(ctx)
+}
--- a/command/serve.go
+++ b/command/serve.go
@@ -4,7 +4,7 @@
 	"os"
 
 	"fescuehall/entry"
-	"fescuehall/journal"
+	"fescuehall/logbook"
 	"fescuehall/setting"
 )
 
@@ -22,12 +22,12 @@
 	if err != nil {
 		return &ExitError{Code: ExitUsage, Detail: err.Error()}
 	}
-	log, err := journal.New(os.Stderr, string(settings.Log.Level), string(settings.Log.Format))
+	log, err := logbook.New(os.Stderr, string(settings.Log.Level), string(settings.Log.Format))
 	if err != nil {
 		return err
 	}
 	ctx, cancel := interrupted()
 	defer cancel()
-	host := &entry.Host{Settings: settings, Journal: log}
+	host := &entry.Host{Settings: settings, Logbook: log}
 	return host.Run(ctx)
 }
--- /dev/null
+++ b/dispatch/dispatch.go
@@ -0,0 +1,159 @@
+// Package dispatch answers callers' requests through the replicas of the
+// services that a route names: one replica of one service, or one of each
+// shard. It decides on tries, hedges, retries, and when an answer without all
+// shards is better than a late one.
+package dispatch
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"fescuehall/exchange"
+	"fescuehall/logbook"
+	"fescuehall/replica"
+	"fescuehall/retry"
+	"fescuehall/roster"
+	"fescuehall/route"
+	"fescuehall/verdict"
+)
+
+// Request is one request of a caller.
+type Request struct {
+	ID      string
+	Route   *route.Route
+	Version uint64
+	Content *exchange.Request
+	// Received is when its header was read.
+	Received time.Time
+	// Deadline is when the caller or the route gives it up.
+	Deadline time.Time
+}
+
+// Try is one request to one replica.
+type Try struct {
+	Request *Request
+	Replica roster.Replica
+}
+
+// Load is what a replica says of its load.
+type Load struct {
+	Running int
+	Waiting int
+	Slots   int
+}
+
+// Reply is what became of a try.
+type Reply struct {
+	// Answer is the replica's whole answer, nil when none came.
+	Answer *exchange.Answer
+	// Receipt proves to the caller which replica answered.
+	Receipt string
+	// Failure is nil for a success.
+	Failure *verdict.Failure
+	Load    Load
+}
+
+// Answer is what the caller gets.
+type Answer struct {
+	// Whole is the answer of one replica, a success or its own failure.
+	Whole *exchange.Answer
+	// Receipts, Missing and Records are a gathered success.
+	Receipts []string
+	Missing  int
+	Records  []byte
+	// Failure is set when there is neither.
+	Failure *verdict.Failure
+	// RetryAfter is when a request that has not run may be sent again.
+	RetryAfter time.Duration
+}
+
+// Dispatcher answers requests. Set the fields before use.
+type Dispatcher struct {
+	// Send sends a try. It always returns a reply, soon after ctx has ended.
+	Send func(ctx context.Context, try *Try) *Reply
+	// Replicas returns the replicas of a service that take work.
+	Replicas func(service string) []roster.Replica
+	// Misplaced is told of a replica that is not at its address.
+	Misplaced func(id string)
+	// Hosts returns how many hosts share the budget of extra requests.
+	Hosts func() int
+	// Picker chooses among replicas, by their IDs.
+	Picker *replica.Picker
+	// Random returns a number in [0, 1).
+	Random func() float64
+	// ExtraRatio and ExtraSlack are the extra requests a service may get from
+	// all hosts: a share of its requests, and a number.
+	ExtraRatio float64
+	ExtraSlack float64
+	// Event is told of each decision.
+	Event func(event string, fields logbook.Fields)
+
+	services sync.Map
+	routes   sync.Map
+}
+
+const (
+	// slackShare of the slack is spent: the rest covers processes that start
+	// again and hosts that are not known yet.
+	slackShare = 0.7
+	// ratioShare of the ratio is spent, for requests that callers give up before
+	// they arrive.
+	ratioShare = 0.95
+	// hedgeQuantile is the part of tries, in percent, that are not hedged. What
+	// is left stays well under the usual budget of 20%.
+	hedgeQuantile = 92
+	leastHedge    = 2 * time.Millisecond
+	// routeSamples make one estimate for a route that asks one replica.
+	routeSamples = 60
+)
+
+// budget returns the budget of extra requests of a service.
+func (dispatcher *Dispatcher) budget(service string) *retry.Budget {
+	burst := dispatcher.ExtraSlack * slackShare / float64(max(1, dispatcher.Hosts()))
+	if found, ok := dispatcher.services.Load(service); ok {
+		budget := found.(*retry.Budget)
+		budget.Bound(burst)
+		return budget
+	}
+	made := &retry.Budget{Ratio: dispatcher.ExtraRatio * ratioShare, Burst: burst}
+	found, _ := dispatcher.services.LoadOrStore(service, made)
+	return found.(*retry.Budget)
+}
+
+// delay returns the hedge delay of a route, learnt from its tries.
+func (dispatcher *Dispatcher) delay(route *route.Route) *retry.Delay {
+	if found, ok := dispatcher.routes.Load(route.Name); ok {
+		return found.(*retry.Delay)
+	}
+	made := &retry.Delay{Quantile: hedgeQuantile, Least: leastHedge}
+	if !route.Gathers() {
+		made.Samples = routeSamples
+	}
+	found, _ := dispatcher.routes.LoadOrStore(route.Name, made)
+	return found.(*retry.Delay)
+}
+
+// hedgeAfter returns when a try of a route is hedged.
+func (dispatcher *Dispatcher) hedgeAfter(route *route.Route) time.Duration {
+	if after, known := dispatcher.delay(route).After(); known {
+		return after
+	}
+	const unknownShare = 3
+	if route.Target > 0 {
+		return route.Target / unknownShare
+	}
+	return route.Timeout / unknownShare
+}
+
+// Serve answers one request. It always returns an answer, unless the caller
+// has left, which ends ctx.
+func (dispatcher *Dispatcher) Serve(ctx context.Context, request *Request) *Answer {
+	run := newRun(dispatcher, request)
+	run.startAll()
+	gone := run.wait(ctx)
+	answer := run.answer(gone)
+	run.close(gone)
+	run.log(answer, gone)
+	return answer
+}
--- /dev/null
+++ b/dispatch/result.go
@@ -0,0 +1,121 @@
+package dispatch
+
+import (
+	"time"
+
+	"fescuehall/answer"
+	"fescuehall/logbook"
+	"fescuehall/verdict"
+)
+
+// retryAfter is when a request that has not run may come back: a few times a
+// replica's usual work.
+const retryAfter = 60 * time.Millisecond
+
+// answer returns the answer to what is in.
+func (run *run) answer(gone bool) *Answer {
+	if gone {
+		return &Answer{Failure: verdict.New(verdict.MayHaveRun, verdict.CallerLeft, "caller left")}
+	}
+	if run.request.Route.Gathers() {
+		return run.gathered()
+	}
+	only := run.parts[0]
+	if only.reply != nil {
+		return &Answer{Whole: only.reply.Answer}
+	}
+	if only.over && only.failed != nil && only.failed.Failure.Verdict == verdict.Ran && only.failed.Answer != nil {
+		return &Answer{Whole: only.failed.Answer}
+	}
+	return run.failure()
+}
+
+func (run *run) gathered() *Answer {
+	if run.good < run.request.Route.LeastParts() {
+		return run.failure()
+	}
+	gathered := &Answer{Missing: len(run.parts) - run.good}
+	bodies := make([][]byte, 0, run.good)
+	for _, part := range run.parts {
+		if part.reply != nil {
+			gathered.Receipts = append(gathered.Receipts, part.reply.Receipt)
+			bodies = append(bodies, part.reply.Answer.Body)
+		}
+	}
+	gathered.Records = answer.TopRecords(bodies, run.request.Route.TopK)
+	return gathered
+}
+
+// failure joins what is known of all tries: the request has not run only if
+// none of them may have.
+func (run *run) failure() *Answer {
+	joined := verdict.NotRun
+	cause := verdict.New(verdict.NotRun, verdict.NoReplica, "no replica takes work")
+	for _, part := range run.parts {
+		certainty := part.joined
+		if part.reply != nil {
+			certainty = verdict.Ran
+		}
+		if part.running > 0 {
+			certainty = max(certainty, verdict.MayHaveRun)
+		}
+		joined = max(joined, certainty)
+		if part.failed != nil {
+			cause = part.failed.Failure
+		}
+	}
+	if !time.Now().Before(run.request.Deadline.Add(-deadlineMargin)) {
+		cause = verdict.New(joined, verdict.DeadlinePassed, "no answer before the deadline")
+	}
+	failed := verdict.New(joined, cause.Code, "%d of %d parts in, %d needed: %s", run.good, len(run.parts), run.request.Route.LeastParts(), cause.Detail)
+	return &Answer{Failure: failed, RetryAfter: retryAfter}
+}
+
+// log tells how the request was answered and what decided it.
+func (run *run) log(answer *Answer, gone bool) {
+	now := time.Now()
+	fields := logbook.Fields{
+		"id":      run.request.ID,
+		"route":   run.request.Route.Name,
+		"rank":    run.request.Route.Rank,
+		"version": run.request.Version,
+		"took_ms": float64(now.Sub(run.request.Received).Microseconds()) / 1000,
+		"left_ms": run.request.Deadline.Sub(now).Milliseconds(),
+		"parts":   len(run.parts),
+		"in":      run.good,
+		"hedges":  run.hedges,
+		"retries": run.retries,
+		"cut":     run.cut,
+	}
+	if missing := run.missing(); missing != "" {
+		fields["missing"] = missing
+	}
+	outcome := "answered"
+	if answer.Failure != nil {
+		outcome = "failed"
+		fields["verdict"] = answer.Failure.Verdict.String()
+		fields["code"] = string(answer.Failure.Code)
+		fields["detail"] = answer.Failure.Detail
+	}
+	if gone {
+		outcome = "caller left"
+	}
+	run.dispatcher.Event(outcome, fields)
+}
+
+// missing names the first shard that is not in, and why.
+func (run *run) missing() string {
+	for _, part := range run.parts {
+		if part.reply != nil {
+			continue
+		}
+		if part.failed != nil {
+			return part.service + ": " + part.failed.Failure.Error()
+		}
+		if part.running > 0 {
+			return part.service + ": no answer yet"
+		}
+		return part.service + ": no replica takes work"
+	}
+	return ""
+}
--- /dev/null
+++ b/dispatch/run.go
@@ -0,0 +1,292 @@
+package dispatch
+
+import (
+	"context"
+	"time"
+
+	"fescuehall/replica"
+	"fescuehall/roster"
+	"fescuehall/verdict"
+)
+
+const (
+	// answerMargin is kept of a target for the ways between the caller and this
+	// host, a new connection included.
+	answerMargin = 12 * time.Millisecond
+	// deadlineMargin is kept of a deadline for the way back.
+	deadlineMargin = 5 * time.Millisecond
+	// lingerTime lets the losers of a request end, which keeps their connections.
+	lingerTime = 150 * time.Millisecond
+	// maxDials bounds the tries of one shard that reach no replica.
+	maxDials = 4
+)
+
+// part is the state of one shard, or of the whole of a request that is not
+// gathered.
+type part struct {
+	service string
+	tried   map[string]bool
+	// mayRun counts the tries that run or may have run.
+	mayRun  int
+	running int
+	dials   int
+	hedgeAt time.Time
+	reply   *Reply
+	// failed is the last failure, joined the gravest verdict of all.
+	failed *Reply
+	joined verdict.Verdict
+	over   bool
+}
+
+func (part *part) ended() bool {
+	return part.reply != nil || part.over
+}
+
+// flight is one try on its way.
+type flight struct {
+	place   int
+	replica roster.Replica
+	started time.Time
+	hedge   bool
+	reply   *Reply
+}
+
+// run is one request on its way.
+type run struct {
+	dispatcher *Dispatcher
+	request    *Request
+	parts      []*part
+	landings   chan *flight
+	ctx        context.Context
+	cancel     context.CancelFunc
+	cutAt      time.Time
+	good       int
+	open       int
+	inFlight   int
+	hedges     int
+	retries    int
+	cut        bool
+	slowest    *flight
+}
+
+func newRun(dispatcher *Dispatcher, request *Request) *run {
+	services := request.Route.Shards
+	if !request.Route.Gathers() {
+		services = []string{request.Route.Pick(dispatcher.Random())}
+	}
+	run := &run{dispatcher: dispatcher, request: request, open: len(services)}
+	run.landings = make(chan *flight, len(services)*(request.Route.MaxTries+maxDials+1))
+	run.ctx, run.cancel = context.WithDeadline(context.Background(), request.Deadline.Add(-deadlineMargin))
+	if request.Route.Gathers() && request.Route.Target > 0 {
+		run.cutAt = request.Received.Add(request.Route.Target - answerMargin)
+	}
+	for _, service := range services {
+		run.parts = append(run.parts, &part{service: service, tried: make(map[string]bool)})
+	}
+	return run
+}
+
+func (run *run) startAll() {
+	for place, part := range run.parts {
+		run.dispatcher.budget(part.service).First(1)
+		if !run.start(place, false) {
+			run.end(part)
+		}
+	}
+}
+
+// start sends the next try of a part. It returns false when no replica is left.
+func (run *run) start(place int, hedge bool) bool {
+	part := run.parts[place]
+	candidates := run.candidates(part)
+	ids := make([]string, len(candidates))
+	for place, candidate := range candidates {
+		ids[place] = candidate.ID
+	}
+	chosen := run.dispatcher.Picker.Pick(ids)
+	if chosen < 0 {
+		return false
+	}
+	flight := &flight{place: place, replica: candidates[chosen], started: time.Now(), hedge: hedge}
+	part.tried[flight.replica.ID] = true
+	part.mayRun++
+	part.running++
+	run.inFlight++
+	part.hedgeAt = time.Time{}
+	if !hedge && run.request.Route.Idempotent {
+		part.hedgeAt = flight.started.Add(run.dispatcher.hedgeAfter(run.request.Route))
+	}
+	go run.fly(flight)
+	return true
+}
+
+func (run *run) candidates(part *part) []roster.Replica {
+	all := run.dispatcher.Replicas(part.service)
+	if len(part.tried) == 0 {
+		return all
+	}
+	var left []roster.Replica
+	for _, replica := range all {
+		if !part.tried[replica.ID] {
+			left = append(left, replica)
+		}
+	}
+	return left
+}
+
+// fly runs one try to its end, which may be after the request's own.
+func (run *run) fly(flight *flight) {
+	flight.reply = run.dispatcher.Send(run.ctx, &Try{Request: run.request, Replica: flight.replica})
+	took := time.Since(flight.started)
+	failure := flight.reply.Failure
+	result := replica.Result{Took: took, Waiting: flight.reply.Load.Waiting, Failed: failure != nil}
+	if failure != nil {
+		result.Lost = failure.Code == verdict.Unreachable
+		result.Cancelled = failure.Code == verdict.Cancelled
+	}
+	run.dispatcher.Picker.Done(flight.replica.ID, result)
+	if failure == nil {
+		run.dispatcher.delay(run.request.Route).Add(took)
+	}
+	run.landings <- flight
+}
+
+// wait runs the request until its answer is settled. It reports whether the
+// caller left before.
+func (run *run) wait(ctx context.Context) (gone bool) {
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for !run.settled(time.Now()) {
+		timer.Reset(time.Until(run.wake()))
+		select {
+		case flight := <-run.landings:
+			run.land(flight)
+		case <-timer.C:
+			run.hedgeLate(time.Now())
+		case <-ctx.Done():
+			return true
+		}
+	}
+	return false
+}
+
+// settled reports whether nothing better can come in time.
+func (run *run) settled(now time.Time) bool {
+	if run.open == 0 || !now.Before(run.request.Deadline.Add(-deadlineMargin)) {
+		return true
+	}
+	least := run.request.Route.LeastParts()
+	if run.good+run.open < least {
+		return true
+	}
+	if run.cutAt.IsZero() || run.good < least || now.Before(run.cutAt) {
+		return false
+	}
+	run.cut = true
+	return true
+}
+
+// wake returns when there is next something to decide.
+func (run *run) wake() time.Time {
+	next := run.request.Deadline.Add(-deadlineMargin)
+	if !run.cutAt.IsZero() && run.cutAt.Before(next) && time.Now().Before(run.cutAt) {
+		next = run.cutAt
+	}
+	for _, part := range run.parts {
+		if !part.ended() && !part.hedgeAt.IsZero() && part.hedgeAt.Before(next) {
+			next = part.hedgeAt
+		}
+	}
+	return next
+}
+
+// land takes the end of a try.
+func (run *run) land(flight *flight) {
+	part := run.parts[flight.place]
+	part.running--
+	run.inFlight--
+	if run.slowest == nil || flight.started.Before(run.slowest.started) {
+		run.slowest = flight
+	}
+	if part.ended() {
+		return
+	}
+	failure := flight.reply.Failure
+	if failure == nil {
+		part.reply = flight.reply
+		run.good++
+		run.open--
+		return
+	}
+	run.fail(part, flight, failure)
+}
+
+func (run *run) fail(part *part, flight *flight, failure *verdict.Failure) {
+	part.failed = flight.reply
+	part.joined = max(part.joined, failure.Verdict)
+	if failure.Verdict == verdict.NotRun {
+		part.mayRun--
+	}
+	if failure.Code == verdict.Misplaced {
+		run.dispatcher.Misplaced(flight.replica.ID)
+	}
+	if run.retry(flight.place, failure) || part.running > 0 {
+		return
+	}
+	run.end(part)
+}
+
+func (run *run) end(part *part) {
+	part.over = true
+	run.open--
+}
+
+// retry sends another try after a failure, if the request may run again and
+// the budget lets it.
+func (run *run) retry(place int, failure *verdict.Failure) bool {
+	part := run.parts[place]
+	if part.running > 0 || part.mayRun >= run.request.Route.MaxTries {
+		return false
+	}
+	if failure.Verdict != verdict.NotRun && !run.request.Route.Idempotent {
+		return false
+	}
+	if failure.Code == verdict.Cancelled || len(run.candidates(part)) == 0 {
+		return false
+	}
+	if failure.Code == verdict.Unreachable {
+		part.dials++
+		return part.dials < maxDials && run.start(place, false)
+	}
+	if !run.dispatcher.budget(part.service).Take() {
+		return false
+	}
+	run.retries++
+	return run.start(place, false)
+}
+
+// hedgeLate hedges the tries that are late.
+func (run *run) hedgeLate(now time.Time) {
+	for place, part := range run.parts {
+		if part.ended() || part.hedgeAt.IsZero() || now.Before(part.hedgeAt) {
+			continue
+		}
+		part.hedgeAt = time.Time{}
+		if part.mayRun >= run.request.Route.MaxTries || len(run.candidates(part)) == 0 {
+			continue
+		}
+		if run.dispatcher.budget(part.service).Take() && run.start(place, true) {
+			run.hedges++
+		}
+	}
+}
+
+// close withdraws the tries that still run: at once when the caller has left,
+// and after a while otherwise.
+func (run *run) close(gone bool) {
+	if gone || run.inFlight == 0 {
+		run.cancel()
+		return
+	}
+	time.AfterFunc(lingerTime, run.cancel)
+}
--- a/entry/follow.go
+++ b/entry/follow.go
@@ -24,7 +24,7 @@
 // followHosts reads the host list: often on the hosts chosen to, and now and
 // then on the others.
 func (host *Host) followHosts(ctx context.Context) {
-	log := host.Journal.Part("hosts")
+	log := host.Logbook.Part("hosts")
 	healthy := true
 	last := time.Time{}
 	for ctx.Err() == nil {
--- a/entry/host.go
+++ b/entry/host.go
@@ -15,8 +15,8 @@
 
 	"fescuehall/claim"
 	"fescuehall/front"
-	"fescuehall/journal"
 	"fescuehall/link"
+	"fescuehall/logbook"
 	"fescuehall/member"
 	"fescuehall/message"
 	"fescuehall/metric"
@@ -32,7 +32,7 @@
 // Host is one entry host. Set the exported fields before Run.
 type Host struct {
 	Settings *setting.Settings
-	Journal  *journal.Journal
+	Logbook  *logbook.Logbook
 	// Policy switches decisions off, to measure them.
 	Policy Policy
 	// Sockets are used instead of opening those in the settings, when not nil.
@@ -158,7 +158,7 @@
 }
 
 func (host *Host) build() {
-	host.log = host.Journal.Part("entry")
+	host.log = host.Logbook.Part("entry")
 	host.metrics = metric.New()
 	if host.Dial == nil {
 		host.Dial = net.DialTimeout
@@ -179,7 +179,7 @@
 }
 
 func (host *Host) buildMembership() {
-	log := host.Journal.Part("member")
+	log := host.Logbook.Part("member")
 	host.detector = &member.Detector{
 		Self: message.MemberUpdate{
 			Name:          host.Settings.Name,
@@ -202,7 +202,7 @@
 		View:  host.current.View,
 		Marks: host.marks,
 		Now:   time.Now,
-		Log:   host.Journal.Part("front"),
+		Log:   host.Logbook.Part("front"),
 		Dial:  host.Dial,
 	}
 	claimer := &claim.Claimer{Host: host.Settings.Name, Nonce: nonce, Get: host.store.Get, Put: host.store.Put}
@@ -220,14 +220,14 @@
 		NoLimits: host.Policy.NoLimits,
 		OneRank:  host.Policy.OneRank,
 		NoBudget: host.Policy.NoBudget,
-		Log:      host.Journal.Part("query"),
+		Log:      host.Logbook.Part("query"),
 		Observe:  host.metrics.Observe,
 	}
 	host.coordinator.Pick = host.coordinator.Picker.Choice(host.Policy.Choice)
 }
 
 func (host *Host) watcher() *relay.Watcher {
-	return &relay.Watcher{Loader: host.loader, Watch: host.store.Watch, Chosen: host.chosen, Log: host.Journal.Part("relay")}
+	return &relay.Watcher{Loader: host.loader, Watch: host.store.Watch, Chosen: host.chosen, Log: host.Logbook.Part("relay")}
 }
 
 // advanced tells peers of a new configuration.
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -13,7 +13,7 @@
 	"time"
 
 	"fescuehall/entry"
-	"fescuehall/journal"
+	"fescuehall/logbook"
 	"fescuehall/patch"
 	"fescuehall/service"
 	"fescuehall/setting"
@@ -216,13 +216,13 @@
 	if out == nil {
 		out, level = io.Discard, "error"
 	}
-	log, err := journal.New(out, level, "text")
+	log, err := logbook.New(out, level, "text")
 	if err != nil {
 		return nil, err
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	started := &Host{Name: listed.Name, Settings: settings, URL: "http://" + settings.CallerAddress, cancel: cancel, done: make(chan struct{}), sockets: sockets}
-	host := &entry.Host{Settings: settings, Journal: log, Policy: fleet.layout.Policy, Sockets: sockets, Dial: fleet.Network.dialer(listed.FailureDomain)}
+	host := &entry.Host{Settings: settings, Logbook: log, Policy: fleet.layout.Policy, Sockets: sockets, Dial: fleet.Network.dialer(listed.FailureDomain)}
 	go func() {
 		defer close(started.done)
 		host.Run(ctx)
--- a/journal/journal.go
+++ b/logbook/logbook.go
@@ -1,6 +1,6 @@
-// Package journal writes the log and keeps the latest decision lines, so that
+// Package logbook writes the log and keeps the latest decision lines, so that
 // the way of a request can be explained.
-package journal
+package logbook
 
 import (
 	"fmt"
@@ -14,8 +14,8 @@
 // keptLines is how many decision lines are kept in memory.
 const keptLines = 8192
 
-// Journal is the log of one process.
-type Journal struct {
+// Logbook is the log of one process.
+type Logbook struct {
 	logger *logrus.Logger
 
 	mu    sync.Mutex
@@ -23,9 +23,9 @@
 	next  int
 }
 
-// New returns a journal that writes lines of at least the given level, as text
+// New returns a logbook that writes lines of at least the given level, as text
 // or JSON.
-func New(out io.Writer, level, format string) (*Journal, error) {
+func New(out io.Writer, level, format string) (*Logbook, error) {
 	parsed, err := logrus.ParseLevel(level)
 	if err != nil {
 		return nil, err
@@ -36,39 +36,39 @@
 	if format == "json" {
 		logger.SetFormatter(&logrus.JSONFormatter{})
 	}
-	return &Journal{logger: logger}, nil
+	return &Logbook{logger: logger}, nil
 }
 
 // Part returns the function that logs for one part of the program, with the
 // part's name as prefix.
-func (journal *Journal) Part(name string) func(format string, args ...any) {
+func (logbook *Logbook) Part(name string) func(format string, args ...any) {
 	prefix := name + ": "
 	return func(format string, args ...any) {
 		line := prefix + fmt.Sprintf(format, args...)
-		journal.keep(line)
-		journal.logger.Info(line)
+		logbook.keep(line)
+		logbook.logger.Info(line)
 	}
 }
 
-func (journal *Journal) keep(line string) {
-	journal.mu.Lock()
-	defer journal.mu.Unlock()
-	if len(journal.lines) < keptLines {
-		journal.lines = append(journal.lines, line)
+func (logbook *Logbook) keep(line string) {
+	logbook.mu.Lock()
+	defer logbook.mu.Unlock()
+	if len(logbook.lines) < keptLines {
+		logbook.lines = append(logbook.lines, line)
 		return
 	}
-	journal.lines[journal.next] = line
-	journal.next = (journal.next + 1) % keptLines
+	logbook.lines[logbook.next] = line
+	logbook.next = (logbook.next + 1) % keptLines
 }
 
 // About returns the kept lines that name a request, oldest first.
-func (journal *Journal) About(requestID string) []string {
-	journal.mu.Lock()
-	defer journal.mu.Unlock()
+func (logbook *Logbook) About(requestID string) []string {
+	logbook.mu.Lock()
+	defer logbook.mu.Unlock()
 	wanted := "equest " + requestID + " "
 	found := []string{}
-	for place := range journal.lines {
-		line := journal.lines[(journal.next+place)%len(journal.lines)]
+	for place := range logbook.lines {
+		line := logbook.lines[(logbook.next+place)%len(logbook.lines)]
 		if strings.Contains(line, wanted) {
 			found = append(found, line)
 		}
--- a/replica/picker.go
+++ b/replica/picker.go
@@ -29,6 +29,9 @@
 	Now func() time.Time
 	// Random returns a number in [0, n).
 	Random func(n int) int
+	// Weight makes a replica dearer by a factor, as one that is further away;
+	// nil weighs all alike.
+	Weight func(address string) float64
 
 	states sharded[*state]
 }
@@ -127,6 +130,9 @@
 	picker.with(address, func(known *state) {
 		score = float64(known.expected(now)+1) * float64(1+known.outstanding+known.waiting)
 	})
+	if picker.Weight != nil {
+		score *= picker.Weight(address)
+	}
 	return score
 }
 
--- a/retry/retry.go
+++ b/retry/retry.go
@@ -2,6 +2,7 @@
 package retry
 
 import (
+	"cmp"
 	"sync"
 	"time"
 
@@ -23,6 +24,14 @@
 	denied uint64
 }
 
+// Bound changes what may be saved up, in sub-requests.
+func (budget *Budget) Bound(burst float64) {
+	budget.mu.Lock()
+	defer budget.mu.Unlock()
+	budget.Burst = burst
+	budget.tokens = min(burst, budget.tokens)
+}
+
 // First records a number of first sub-requests.
 func (budget *Budget) First(count int) {
 	budget.mu.Lock()
@@ -66,6 +75,8 @@
 	Quantile float64
 	// Least bounds the delay from below.
 	Least time.Duration
+	// Samples make one estimate; 0 means 500.
+	Samples int64
 
 	mu      sync.Mutex
 	current *hdrhistogram.Histogram
@@ -73,8 +84,8 @@
 }
 
 const (
-	// windowSamples is how many samples make one estimate.
-	windowSamples = 500
+	// usualSamples make an estimate of the 98th percentile from ten of them.
+	usualSamples = 500
 	maxMicros     = 60_000_000
 	digits        = 2
 )
@@ -87,7 +98,7 @@
 		delay.current = hdrhistogram.New(1, maxMicros, digits)
 	}
 	delay.current.RecordValue(min(maxMicros, max(1, took.Microseconds())))
-	if delay.current.TotalCount() < windowSamples {
+	if delay.current.TotalCount() < cmp.Or(delay.Samples, usualSamples) {
 		return
 	}
 	quantile := time.Duration(delay.current.ValueAtQuantile(delay.Quantile)) * time.Microsecond
--- a/verdict/verdict.go
+++ b/verdict/verdict.go
@@ -67,6 +67,9 @@
 	NotReady         Code = "NotReady"
 	Stopping         Code = "Stopping"
 	NoReplica        Code = "NoReplica"
+	Misplaced        Code = "Misplaced"
+	CallerLeft       Code = "CallerLeft"
+	UnknownRoute     Code = "UnknownRoute"
 )
 
 // Failure is the error type of every step of a request.
