query: make each round's inputs its own; free tries that reached nobody

A round now holds both, immutable. - relay's races were the test's own: its fake store had no lock. It has one. - 'make demo' lost shards after a killed host: each try that found the dead host drew on the retry budget, which a quiet host earns at one a query. Tries that reached no backend server are no load on one and draw no more. TestUnreachableReplicasCostNoShard failed before. Ruled out: a second try at the dead host (it goes to another replica) and a cancelled round answered as a success (the answer has a code and an exit code of its own).

--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -49,12 +49,19 @@
 }
 
 // Do sends a request to an address and returns the whole answer that belongs
-// to it. Errors are *verdict.Failure. The call ends when ctx does.
-func (pool *Pool) Do(ctx context.Context, address string, request *Request) (*Answer, error) {
+// to it. The request is made once a connection is free, so that it can tell the
+// time that is left then. Errors are *verdict.Failure. The call ends when ctx
+// does.
+func (pool *Pool) Do(ctx context.Context, address string, made func() (*Request, error)) (*Answer, error) {
 	conn, err := pool.take(ctx, address)
 	if err != nil {
 		return nil, err
 	}
+	request, err := made()
+	if err != nil {
+		pool.put(conn)
+		return nil, err
+	}
 	stop := conn.boundBy(ctx)
 	answer, keep, err := pool.exchange(conn, request)
 	interrupted := !stop()
--- a/poll/poll.go
+++ b/poll/poll.go
@@ -3,6 +3,7 @@
 package poll
 
 import (
+	"cmp"
 	"context"
 	"math/rand/v2"
 	"time"
@@ -19,8 +20,10 @@
 
 // Loop reads at a steady pace. Set the fields before Run.
 type Loop struct {
-	// Every is the pause between readings.
-	Every time.Duration
+	// Every is the pause between readings, FailedEvery after a failure; Every
+	// holds for both when it is 0.
+	Every       time.Duration
+	FailedEvery time.Duration
 	// Timeout bounds one reading.
 	Timeout time.Duration
 	// Read reads once.
@@ -37,7 +40,11 @@
 func (loop *Loop) Run(ctx context.Context) {
 	for ctx.Err() == nil {
 		loop.once(ctx)
-		pause := time.Duration(float64(loop.Every) * (1 - jitter/2 + jitter*rand.Float64()))
+		every := loop.Every
+		if loop.failures > 0 {
+			every = cmp.Or(loop.FailedEvery, loop.Every)
+		}
+		pause := time.Duration(float64(every) * (1 - jitter/2 + jitter*rand.Float64()))
 		timer := time.NewTimer(pause)
 		select {
 		case <-timer.C:
--- a/query/once.go
+++ b/query/once.go
@@ -19,14 +19,14 @@
 		settle(verdict.NotRun)
 		return coordinator.failed(job.request, job, verdict.New(verdict.NotRun, verdict.DeadlinePassed, "deadline passed while the identity was claimed"))
 	}
-	outcome := coordinator.single(ctx, job)
+	asked, outcome := coordinator.single(ctx, job)
 	if outcome.failure == nil {
 		go settle(verdict.Ran)
-		return coordinator.oneShard(job, outcome)
+		return coordinator.oneShard(asked, outcome)
 	}
 	settle(outcome.failure.Verdict)
 	failed := coordinator.failed(job.request, job, outcome.failure)
-	failed.Snapshot = job.snapshot
+	failed.Snapshot = asked.snapshot
 	failed.ShardsAsked = 1
 	failed.Missing = []answer.Missing{{Shard: outcome.shard, Code: failed.Code, Verdict: failed.Verdict, Detail: failed.Detail}}
 	return failed
@@ -34,26 +34,26 @@
 
 // single runs the one shard's part, at an older snapshot if no replica has the
 // newest.
-func (coordinator *Coordinator) single(ctx context.Context, job *job) shardOutcome {
+func (coordinator *Coordinator) single(ctx context.Context, job *job) (*round, shardOutcome) {
+	var asked *round
 	var outcome shardOutcome
 	for _, snapshot := range job.order(coordinator.Absences) {
-		job.snapshot = snapshot
-		job.shards = job.service.ShardMap(snapshot)
+		asked = job.at(snapshot)
 		job.load.first(1)
-		outcome = coordinator.shard(ctx, job, shard.Of(job.request.Key, len(job.shards)))
+		outcome = coordinator.shard(ctx, asked, shard.Of(job.request.Key, len(asked.shards)))
 		if !outcome.absent() || outcome.failure.Verdict != verdict.NotRun {
 			break
 		}
 	}
-	return outcome
+	return asked, outcome
 }
 
-func (coordinator *Coordinator) oneShard(job *job, outcome shardOutcome) *answer.Answer {
+func (coordinator *Coordinator) oneShard(round *round, outcome shardOutcome) *answer.Answer {
 	return &answer.Answer{
-		RequestID:     job.request.RequestID,
+		RequestID:     round.request.RequestID,
 		Verdict:       verdict.Ran.String(),
-		Snapshot:      job.snapshot,
-		Version:       job.view.Version,
+		Snapshot:      round.snapshot,
+		Version:       round.view.Version,
 		Host:          coordinator.Host,
 		ShardsAsked:   1,
 		ShardsCovered: 1,
--- a/query/query.go
+++ b/query/query.go
@@ -71,13 +71,23 @@
 	load      *load
 	started   time.Time
 	deadline  time.Time
-	snapshot  string
-	shards    [][]service.Replica
 	trace     trace
 	pressLock sync.Mutex
 	pressed   rank.Outcome
 }
 
+// round is one job at one snapshot. It is immutable, since the tries of an
+// earlier round may still run.
+type round struct {
+	*job
+	snapshot string
+	shards   [][]service.Replica
+}
+
+func (job *job) at(snapshot string) *round {
+	return &round{job: job, snapshot: snapshot, shards: job.service.ShardMap(snapshot)}
+}
+
 // Answer serves one request. It always returns an answer; a failure has a
 // code and a verdict.
 func (coordinator *Coordinator) Answer(ctx context.Context, request *answer.Request) *answer.Answer {
@@ -158,17 +168,17 @@
 // yet.
 func (coordinator *Coordinator) spread(ctx context.Context, job *job) *answer.Answer {
 	var merger *answer.Merger
+	var asked *round
 	for _, snapshot := range job.order(coordinator.Absences) {
-		job.snapshot = snapshot
-		job.shards = job.service.ShardMap(snapshot)
+		asked = job.at(snapshot)
 		var complete bool
-		merger, complete = coordinator.round(ctx, job)
+		merger, complete = coordinator.round(ctx, asked)
 		if complete || ctx.Err() != nil {
 			break
 		}
 		coordinator.Log("Request %s asks again: snapshot %s is not on every shard.", job.request.RequestID, snapshot)
 	}
-	return coordinator.finish(job, merger)
+	return coordinator.finish(asked, merger)
 }
 
 // order returns the snapshots to try: the newest first, unless a replica
@@ -195,21 +205,21 @@
 
 // round asks every shard of one snapshot. It reports false when a shard has
 // no replica with the snapshot, so that another has to be tried.
-func (coordinator *Coordinator) round(ctx context.Context, job *job) (*answer.Merger, bool) {
+func (coordinator *Coordinator) round(ctx context.Context, round *round) (*answer.Merger, bool) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	merger := answer.NewMerger(job.snapshot, len(job.shards), job.request.Limit)
-	outcomes := make(chan shardOutcome, len(job.shards))
-	job.load.first(len(job.shards))
-	for shard := range job.shards {
-		go func() { outcomes <- coordinator.shard(ctx, job, shard) }()
+	merger := answer.NewMerger(round.snapshot, len(round.shards), round.request.Limit)
+	outcomes := make(chan shardOutcome, len(round.shards))
+	round.load.first(len(round.shards))
+	for shard := range round.shards {
+		go func() { outcomes <- coordinator.shard(ctx, round, shard) }()
 	}
 	complete := true
-	for range job.shards {
+	for range round.shards {
 		select {
 		case outcome := <-outcomes:
-			if outcome.absent() && len(job.service.Snapshots) > 1 {
-				coordinator.Absences.Add(job.request.Service, job.snapshot)
+			if outcome.absent() && len(round.service.Snapshots) > 1 {
+				coordinator.Absences.Add(round.request.Service, round.snapshot)
 				complete = false
 			}
 			coordinator.merge(merger, outcome)
@@ -220,7 +230,7 @@
 		if !complete {
 			return merger, false
 		}
-		if job.hopeless(merger) {
+		if round.hopeless(merger) {
 			break
 		}
 	}
@@ -229,9 +239,9 @@
 
 // hopeless reports whether so many shards are missing that no answer can be
 // given, so that the rest is withdrawn at once.
-func (job *job) hopeless(merger *answer.Merger) bool {
-	asked := len(job.shards)
-	return (asked-merger.Missed())*100 < asked*job.kind.MinCoveragePercent
+func (round *round) hopeless(merger *answer.Merger) bool {
+	asked := len(round.shards)
+	return (asked-merger.Missed())*100 < asked*round.kind.MinCoveragePercent
 }
 
 func (outcome shardOutcome) absent() bool {
@@ -262,19 +272,19 @@
 }
 
 // finish gives a partial answer when the kind allows its coverage.
-func (coordinator *Coordinator) finish(job *job, merger *answer.Merger) *answer.Answer {
+func (coordinator *Coordinator) finish(round *round, merger *answer.Merger) *answer.Answer {
 	merged := merger.Answer()
-	merged.RequestID = job.request.RequestID
+	merged.RequestID = round.request.RequestID
 	merged.Host = coordinator.Host
-	merged.Version = job.view.Version
+	merged.Version = round.view.Version
 	merged.Verdict = merger.Verdict().String()
-	if merged.ShardsCovered*100 >= merged.ShardsAsked*job.kind.MinCoveragePercent && merged.ShardsCovered > 0 {
+	if merged.ShardsCovered*100 >= merged.ShardsAsked*round.kind.MinCoveragePercent && merged.ShardsCovered > 0 {
 		return merged
 	}
 	merged.Results = []answer.Result{}
-	failure := job.uncovered(merger, merged)
+	failure := round.uncovered(merger, merged)
 	merged.ShardsCovered = 0
-	merged.Missing = missingAll(merged, len(job.shards))
+	merged.Missing = missingAll(merged, len(round.shards))
 	merged.Verdict = failure.Verdict.String()
 	merged.Code = string(failure.Code)
 	merged.Detail = failure.Detail
--- a/query/query_test.go
+++ b/query/query_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -147,6 +148,22 @@
 	}
 }
 
+// A lost host must cost a try of each shard, not a shard: tries that reach no
+// backend server are no load on one, and draw on no budget.
+func TestUnreachableReplicasCostNoShard(t *testing.T) {
+	coordinator := coordinator(t, &backends{rule: func(request *message.SubRequest) (*message.SubReply, error) {
+		if strings.HasSuffix(request.Replica, "a") {
+			return nil, verdict.New(verdict.NotRun, verdict.Unreachable, "test")
+		}
+		return nil, nil
+	}})
+	for place := range 20 {
+		got := coordinator.Answer(context.Background(), &answer.Request{RequestID: fmt.Sprint("x", place), Service: "Desk", Kind: "Pull", Limit: 10})
+		qt.Assert(t, got.Code, qt.Equals, "", qt.Commentf("%+v", got))
+		qt.Assert(t, got.ShardsCovered, qt.Equals, shards)
+	}
+}
+
 // A query that meets a snapshot which some shard lacks is asked again as a
 // whole, and its answer is all from the other snapshot.
 func TestMissingSnapshotIsAskedAgainAsAWhole(t *testing.T) {
--- a/query/shard.go
+++ b/query/shard.go
@@ -37,7 +37,7 @@
 // shardRun is the state of one shard's part of a query.
 type shardRun struct {
 	coordinator *Coordinator
-	job         *job
+	round       *round
 	shard       int
 	open        []service.Replica
 	tries       []*try
@@ -50,9 +50,9 @@
 
 // shard gets the results of one shard: a first try, a hedge when it is late,
 // and another replica when it fails.
-func (coordinator *Coordinator) shard(ctx context.Context, job *job, shard int) shardOutcome {
-	run := &shardRun{coordinator: coordinator, job: job, shard: shard, replies: make(chan ended, maxTries)}
-	run.open = coordinator.candidates(job, shard)
+func (coordinator *Coordinator) shard(ctx context.Context, round *round, shard int) shardOutcome {
+	run := &shardRun{coordinator: coordinator, round: round, shard: shard, replies: make(chan ended, maxTries)}
+	run.open = coordinator.candidates(round, shard)
 	defer run.cancelAll()
 	if !run.start(ctx, false) {
 		return shardOutcome{shard: shard, failure: verdict.New(verdict.NotRun, verdict.NoReplica, "shard %d has no replica that takes work", shard)}
@@ -77,7 +77,7 @@
 			hedge = nil
 			run.hedge(ctx)
 		case <-ctx.Done():
-			job.press(rank.Outcome{Lost: run.late()})
+			round.press(rank.Outcome{Lost: run.late()})
 			return shardOutcome{shard: shard, failure: verdict.New(verdict.MayHaveRun, verdict.DeadlinePassed, "no reply before the deadline")}
 		}
 	}
@@ -92,13 +92,13 @@
 
 // candidates returns the replicas of a shard without the leaving ones, and
 // without those that lack the snapshot when others have it.
-func (coordinator *Coordinator) candidates(job *job, shard int) []service.Replica {
+func (coordinator *Coordinator) candidates(round *round, shard int) []service.Replica {
 	var having, lacking []service.Replica
-	for _, candidate := range job.shards[shard] {
+	for _, candidate := range round.shards[shard] {
 		if coordinator.Marks.Leaving(candidate.Address) {
 			continue
 		}
-		if coordinator.Absences.Lacks(candidate.Address, job.snapshot) {
+		if coordinator.Absences.Lacks(candidate.Address, round.snapshot) {
 			lacking = append(lacking, candidate)
 			continue
 		}
@@ -139,22 +139,22 @@
 }
 
 func (run *shardRun) request(chosen service.Replica) *message.SubRequest {
-	job := run.job
-	left := job.deadline.Add(-replyMargin).Sub(run.coordinator.Now())
+	round := run.round
+	left := round.deadline.Add(-replyMargin).Sub(run.coordinator.Now())
 	return &message.SubRequest{
-		RequestID:     job.request.RequestID,
+		RequestID:     round.request.RequestID,
 		Attempt:       run.attempts,
-		Service:       job.request.Service,
-		Kind:          job.request.Kind,
-		Snapshot:      job.snapshot,
+		Service:       round.request.Service,
+		Kind:          round.request.Kind,
+		Snapshot:      round.snapshot,
 		Shard:         run.shard,
 		Replica:       chosen.Address,
-		Rank:          job.rank,
+		Rank:          round.rank,
 		BudgetMicros:  left.Microseconds(),
-		StartedMicros: job.started.UnixMicro(),
-		Idempotent:    job.kind.Idempotent,
-		Text:          job.request.Text,
-		Limit:         job.request.Limit,
+		StartedMicros: round.started.UnixMicro(),
+		Idempotent:    round.kind.Idempotent,
+		Text:          round.request.Text,
+		Limit:         round.request.Limit,
 	}
 }
 
@@ -164,7 +164,7 @@
 	ended.try.cancel()
 	reply := ended.reply
 	took := run.coordinator.Now().Sub(ended.try.started)
-	failure := failureOf(run.job, run.shard, ended)
+	failure := failureOf(run.round, run.shard, ended)
 	result := replica.Result{Took: took, Waiting: reply.Waiting, Failed: failure != nil}
 	if failure != nil {
 		result.Lost = failure.Code == verdict.Unreachable
@@ -174,11 +174,11 @@
 	}
 	run.coordinator.Picker.Done(ended.try.address, result)
 	if failure == nil {
-		run.job.load.delay.Add(took)
-		run.job.trace.add(reply, took)
+		run.round.load.delay.Add(took)
+		run.round.trace.add(reply, took)
 	}
 	if !ended.try.hedge {
-		run.job.press(run.pressed(reply, failure))
+		run.round.press(run.pressed(reply, failure))
 	}
 	ended.try.cancel = nil
 	return failure
@@ -188,7 +188,7 @@
 // the queue took a fair part of the time there was.
 func (run *shardRun) pressed(reply *message.SubReply, failure *verdict.Failure) rank.Outcome {
 	const queueShare = 4
-	whole := run.job.deadline.Sub(run.job.started)
+	whole := run.round.deadline.Sub(run.round.started)
 	queued := time.Duration(reply.QueueMicros) * time.Microsecond
 	refused := failure != nil && (failure.Code == verdict.Overload || failure.Code == verdict.Shed)
 	return rank.Outcome{Pressed: queued > whole/queueShare, Lost: refused}
@@ -196,12 +196,12 @@
 
 // late reports whether the request's time is over, and not its caller gone.
 func (run *shardRun) late() bool {
-	return !run.coordinator.Now().Before(run.job.deadline.Add(-2 * replyMargin))
+	return !run.coordinator.Now().Before(run.round.deadline.Add(-2 * replyMargin))
 }
 
 func (run *shardRun) note(address string, failure *verdict.Failure) {
 	if failure.Code == verdict.SnapshotMissing {
-		run.coordinator.Absences.Add(address, run.job.snapshot)
+		run.coordinator.Absences.Add(address, run.round.snapshot)
 	}
 	if failure.Code == verdict.Draining {
 		run.coordinator.Marks.Set(address, "", replica.FromReply)
@@ -209,9 +209,9 @@
 }
 
 // failureOf checks that a reply belongs to its try.
-func failureOf(job *job, shard int, ended ended) *verdict.Failure {
+func failureOf(round *round, shard int, ended ended) *verdict.Failure {
 	reply := ended.reply
-	if reply.RequestID != job.request.RequestID || reply.Shard != shard || reply.Snapshot != job.snapshot || reply.Attempt != ended.try.place {
+	if reply.RequestID != round.request.RequestID || reply.Shard != shard || reply.Snapshot != round.snapshot || reply.Attempt != ended.try.place {
 		return verdict.New(verdict.MayHaveRun, verdict.ReplyMismatch, "reply of %s is for another request", ended.try.address)
 	}
 	if reply.Code == "" && verdict.Verdict(reply.Verdict) == verdict.Ran {
@@ -224,23 +224,25 @@
 // retry sends another try after a failure, if the request may run again and
 // the budget lets it.
 func (run *shardRun) retry(ctx context.Context, failure *verdict.Failure) bool {
-	if failure.Verdict != verdict.NotRun && !run.job.kind.Idempotent {
+	if failure.Verdict != verdict.NotRun && !run.round.kind.Idempotent {
 		return false
 	}
 	if failure.Code == verdict.DeadlinePassed || len(run.open) == 0 || ctx.Err() != nil {
 		return false
 	}
-	if !run.job.load.retries.Take() && !run.coordinator.NoBudget {
+	// A try that reached no backend server was no load on one.
+	reached := failure.Verdict != verdict.NotRun || failure.Code != verdict.Unreachable
+	if reached && !run.round.load.retries.Take() && !run.coordinator.NoBudget {
 		return false
 	}
-	run.coordinator.Log("Request %s shard %d is tried again after %s.", run.job.request.RequestID, run.shard, failure.Code)
+	run.coordinator.Log("Request %s shard %d is tried again after %s.", run.round.request.RequestID, run.shard, failure.Code)
 	return run.start(ctx, false)
 }
 
 // hedgeTimer yields when the first try is late.
 func (run *shardRun) hedgeTimer() <-chan time.Time {
-	after, known := run.job.load.delay.After()
-	if !run.coordinator.Hedge || !known || !run.job.kind.Idempotent || len(run.open) == 0 {
+	after, known := run.round.load.delay.After()
+	if !run.coordinator.Hedge || !known || !run.round.kind.Idempotent || len(run.open) == 0 {
 		return nil
 	}
 	return run.coordinator.After(after)
@@ -251,16 +253,16 @@
 	if failure.Verdict != verdict.NotRun || failure.Code != verdict.Overload {
 		return nil
 	}
-	run.job.load.hedges.Refund()
+	run.round.load.hedges.Refund()
 	run.open = append(run.open, refused.replica)
 	return run.coordinator.After(hedgePause)
 }
 
 func (run *shardRun) hedge(ctx context.Context) {
-	if len(run.open) == 0 || !run.job.load.hedges.Take() && !run.coordinator.NoBudget {
+	if len(run.open) == 0 || !run.round.load.hedges.Take() && !run.coordinator.NoBudget {
 		return
 	}
-	run.coordinator.Log("Request %s shard %d is hedged.", run.job.request.RequestID, run.shard)
+	run.coordinator.Log("Request %s shard %d is hedged.", run.round.request.RequestID, run.shard)
 	run.start(ctx, true)
 }
 
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -101,6 +102,7 @@
 
 // heads is a store whose head and watch a test scripts.
 type heads struct {
+	mu      sync.Mutex
 	records []service.Record
 	parts   map[string][]byte
 	// stale answers with the first record.
@@ -139,6 +141,8 @@
 }
 
 func (heads *heads) get(_ context.Context, key string) (store.Value, error) {
+	heads.mu.Lock()
+	defer heads.mu.Unlock()
 	heads.calls++
 	if key == patch.HeadKey {
 		return heads.head(), nil
@@ -151,12 +155,15 @@
 }
 
 func (heads *heads) watch(_ context.Context, _ string, after uint64, wait time.Duration) (store.Value, error) {
+	heads.mu.Lock()
 	heads.calls++
-	if heads.dead {
+	dead, value := heads.dead, heads.head()
+	heads.mu.Unlock()
+	if dead {
 		<-time.After(wait + 2*time.Second)
 		return store.Value{}, context.DeadlineExceeded
 	}
-	if value := heads.head(); value.Revision > after {
+	if value.Revision > after {
 		return value, nil
 	}
 	<-time.After(wait)
@@ -193,7 +200,9 @@
 				time.Sleep(9 * time.Second)
 				qt.Check(t, current.View().Version, qt.Equals, test.want.Version)
 				qt.Check(t, current.View().Entries(), qt.DeepEquals, test.want.Entries())
+				heads.mu.Lock()
 				qt.Check(t, heads.calls < 30, qt.IsTrue, qt.Commentf("%d calls", heads.calls))
+				heads.mu.Unlock()
 				cancel()
 				time.Sleep(time.Minute)
 			})
@@ -213,9 +222,11 @@
 		go watcher.Run(ctx)
 		time.Sleep(time.Second)
 		qt.Check(t, current.View().Version, qt.Equals, uint64(1))
-		heads.dead = true
 		later := newHeads(t, one, two)
+		heads.mu.Lock()
+		heads.dead = true
 		heads.records, heads.parts = later.records, later.parts
+		heads.mu.Unlock()
 		time.Sleep(9 * time.Second)
 		qt.Check(t, current.View().Version, qt.Equals, uint64(2))
 		cancel()
