peer: hand far shards of a query to a peer near their replicas

Cause: a query sends a message to each of 20 shards, and half of them have no replica in the host's failure domain. The shards without a near replica go as one bundle to a peer in a domain that has them; it sends back one merged part.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -28,6 +28,23 @@
 	Received time.Time
 	// Deadline is when the caller or the route gives it up.
 	Deadline time.Time
+	// Hop is set when the answer goes through another host.
+	Hop bool
+}
+
+// Bundle is some shards of a request that one peer gathers: one message each
+// way, where each shard's own would cross failure domains.
+type Bundle struct {
+	Peer   string
+	Shards []string
+}
+
+// Gathered is a peer's answer to a bundle.
+type Gathered struct {
+	Receipts []string
+	Records  []byte
+	// Failure is nil for a success, which may leave shards out.
+	Failure *verdict.Failure
 }
 
 // Try is one request to one replica.
@@ -76,6 +93,12 @@
 	Replicas func(service string) []roster.Replica
 	// Misplaced is told of a replica that is not at its address.
 	Misplaced func(id string)
+	// Plan returns the bundles that peers are to gather; it may be nil. The other
+	// shards are asked from here.
+	Plan func(shards []string) []Bundle
+	// Ask lets a peer gather a bundle. It always returns, soon after ctx has
+	// ended.
+	Ask func(ctx context.Context, request *Request, bundle Bundle) *Gathered
 	// Hosts returns how many hosts share the budget of extra requests.
 	Hosts func() int
 	// Picker chooses among replicas, by their IDs.
@@ -150,6 +173,9 @@
 // has left, which ends ctx.
 func (dispatcher *Dispatcher) Serve(ctx context.Context, request *Request) *Answer {
 	run := newRun(dispatcher, request)
+	if request.Route.Gathers() && !request.Hop && dispatcher.Plan != nil {
+		run.startBundles()
+	}
 	run.startAll()
 	gone := run.wait(ctx)
 	answer := run.answer(gone)
--- a/dispatch/result.go
+++ b/dispatch/result.go
@@ -42,6 +42,12 @@
 			bodies = append(bodies, part.reply.Answer.Body)
 		}
 	}
+	for _, bundle := range run.bundles {
+		if bundle.gathered != nil {
+			gathered.Receipts = append(gathered.Receipts, bundle.gathered.Receipts...)
+			bodies = append(bodies, bundle.gathered.Records)
+		}
+	}
 	gathered.Records = answer.TopRecords(bodies, run.request.Route.TopK)
 	return gathered
 }
@@ -53,10 +59,10 @@
 	cause := verdict.New(verdict.NotRun, verdict.NoReplica, "no replica takes work")
 	for _, part := range run.parts {
 		certainty := part.joined
-		if part.reply != nil {
+		if part.reply != nil || part.gathered {
 			certainty = verdict.Ran
 		}
-		if part.running > 0 {
+		if part.running > 0 || part.bundle != nil {
 			certainty = max(certainty, verdict.MayHaveRun)
 		}
 		joined = max(joined, certainty)
@@ -87,6 +93,9 @@
 		"retries": run.retries,
 		"cut":     run.cut,
 	}
+	for _, bundle := range run.bundles {
+		fields["peer_"+bundle.bundle.Peer] = bundle.summary()
+	}
 	if missing := run.missing(); missing != "" {
 		fields["missing"] = missing
 	}
@@ -106,9 +115,12 @@
 // missing names the first shard that is not in, and why.
 func (run *run) missing() string {
 	for _, part := range run.parts {
-		if part.reply != nil {
+		if part.reply != nil || part.gathered {
 			continue
 		}
+		if part.bundle != nil {
+			return part.service + ": no answer yet of host " + part.bundle.bundle.Peer
+		}
 		if part.failed != nil {
 			return part.service + ": " + part.failed.Failure.Error()
 		}
--- a/dispatch/run.go
+++ b/dispatch/run.go
@@ -13,6 +13,8 @@
 	// answerMargin is kept of a target for the ways between the caller and this
 	// host, a new connection included.
 	answerMargin = 12 * time.Millisecond
+	// hopMargin is kept besides for the way through another host.
+	hopMargin = 2 * time.Millisecond
 	// deadlineMargin is kept of a deadline for the way back.
 	deadlineMargin = 5 * time.Millisecond
 	// lingerTime lets the losers of a request end, which keeps their connections.
@@ -36,10 +38,14 @@
 	failed *Reply
 	joined verdict.Verdict
 	over   bool
+	// bundle is set while a peer gathers the part.
+	bundle *bundleFlight
+	// gathered is set when a peer's answer covers the part.
+	gathered bool
 }
 
 func (part *part) ended() bool {
-	return part.reply != nil || part.over
+	return part.reply != nil || part.over || part.gathered
 }
 
 // flight is one try on its way.
@@ -57,6 +63,8 @@
 	request    *Request
 	parts      []*part
 	landings   chan *flight
+	bundles    []*bundleFlight
+	bundled    chan *bundleFlight
 	ctx        context.Context
 	cancel     context.CancelFunc
 	cutAt      time.Time
@@ -76,9 +84,13 @@
 	}
 	run := &run{dispatcher: dispatcher, request: request, open: len(services)}
 	run.landings = make(chan *flight, len(services)*(request.Route.MaxTries+maxDials+1))
+	run.bundled = make(chan *bundleFlight, len(services))
 	run.ctx, run.cancel = context.WithDeadline(context.Background(), request.Deadline.Add(-deadlineMargin))
 	if request.Route.Gathers() && request.Route.Target > 0 {
 		run.cutAt = request.Received.Add(request.Route.Target - answerMargin)
+		if request.Hop {
+			run.cutAt = run.cutAt.Add(-hopMargin)
+		}
 	}
 	for _, service := range services {
 		run.parts = append(run.parts, &part{service: service, tried: make(map[string]bool)})
@@ -88,6 +100,9 @@
 
 func (run *run) startAll() {
 	for place, part := range run.parts {
+		if part.bundle != nil {
+			continue
+		}
 		run.dispatcher.budget(part.service).First(1)
 		if !run.start(place, false) {
 			run.end(part)
@@ -161,6 +176,8 @@
 		select {
 		case flight := <-run.landings:
 			run.land(flight)
+		case bundle := <-run.bundled:
+			run.landBundle(bundle)
 		case <-timer.C:
 			run.hedgeLate(time.Now())
 		case <-ctx.Done():
--- a/frame/frame.go
+++ b/frame/frame.go
@@ -26,7 +26,9 @@
 	Cancel
 	ConfigFetch
 	ConfigDelta
-	lastType = ConfigDelta
+	GatherRequest
+	GatherReply
+	lastType = GatherReply
 )
 
 // Frame is one message. Correlation matches a reply to its request on a
--- a/link/conn.go
+++ b/link/conn.go
@@ -14,7 +14,7 @@
 // hold its senders.
 const writeTimeout = 5 * time.Second
 
-const readBufferBytes = 64 << 10
+const readBufferBytes = 8 << 10
 
 // outgoing is a frame waiting to be written. Started is closed by the writer
 // just before the first byte may leave the process.
--- a/message/message.go
+++ b/message/message.go
@@ -33,6 +33,77 @@
 	Have uint64 `json:"Have"`
 }
 
+// GatherReply is a peer's answer to a GatherRequest, a success when Code is empty.
+type GatherReply struct {
+	// Code of a failure.
+	Code string `json:"Code"`
+
+	// Detail of a failure.
+	Detail string `json:"Detail"`
+
+	// Receipts of the parts that are in.
+	Receipts []string `json:"Receipts"`
+
+	// Greatest records, falling.
+	Records []byte `json:"Records"`
+
+	// Identity of the caller's attempt.
+	RequestID string `json:"RequestId"`
+
+	// Verdict of a failure.
+	Verdict int `json:"Verdict"`
+}
+
+// GatherRequest asks a peer to gather a caller's request from some shards of its
+// route.
+type GatherRequest struct {
+	// HTTP body.
+	Body []byte `json:"Body"`
+
+	// Time since the caller's header was read.
+	ElapsedMicros int64 `json:"ElapsedMicros"`
+
+	// HTTP header to pass on.
+	Header []HeaderField `json:"Header"`
+
+	// HTTP host.
+	Host string `json:"Host"`
+
+	// Least share of shards, 0 to 1, to answer with at the target.
+	LeastShare float64 `json:"LeastShare"`
+
+	// Time until the request is given up.
+	LeftMicros int64 `json:"LeftMicros"`
+
+	// Most replicas of each shard that may run the request.
+	MaxTries int `json:"MaxTries"`
+
+	// HTTP method.
+	Method string `json:"Method"`
+
+	// Rank of the route; 0 is the most urgent.
+	Rank int `json:"Rank"`
+
+	// Identity of the caller's attempt.
+	RequestID string `json:"RequestId"`
+
+	// Route name.
+	Route string `json:"Route"`
+
+	// Services to ask.
+	Shards []string `json:"Shards"`
+
+	// Path and query as the caller sent them.
+	Target string `json:"Target"`
+
+	// Time, since the caller's header was read, within which an answer is of full
+	// use.
+	TargetMicros int64 `json:"TargetMicros"`
+
+	// Records wanted.
+	TopK int `json:"TopK"`
+}
+
 // Gossip is a membership datagram.
 type Gossip struct {
 	// From corresponds to the JSON schema field "From".
@@ -57,6 +128,15 @@
 	Version uint64 `json:"Version"`
 }
 
+// HeaderField is one field of an HTTP header.
+type HeaderField struct {
+	// Field name.
+	Name string `json:"Name"`
+
+	// Field value.
+	Value string `json:"Value"`
+}
+
 // Mark says that a backend server is leaving.
 type Mark struct {
 	// Set when a newer instance has been seen ready.
--- a/message/message_gen.go
+++ b/message/message_gen.go
@@ -282,6 +282,376 @@
 	return
 }
 
+// MarshalMsg implements msgp.Marshaler
+func (z *GatherReply) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 6
+	// string "Code"
+	o = append(o, 0x86, 0xa4, 0x43, 0x6f, 0x64, 0x65)
+	o = msgp.AppendString(o, z.Code)
+	// string "Detail"
+	o = append(o, 0xa6, 0x44, 0x65, 0x74, 0x61, 0x69, 0x6c)
+	o = msgp.AppendString(o, z.Detail)
+	// string "Receipts"
+	o = append(o, 0xa8, 0x52, 0x65, 0x63, 0x65, 0x69, 0x70, 0x74, 0x73)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Receipts)))
+	for za0001 := range z.Receipts {
+		o = msgp.AppendString(o, z.Receipts[za0001])
+	}
+	// string "Records"
+	o = append(o, 0xa7, 0x52, 0x65, 0x63, 0x6f, 0x72, 0x64, 0x73)
+	o = msgp.AppendBytes(o, z.Records)
+	// string "RequestId"
+	o = append(o, 0xa9, 0x52, 0x65, 0x71, 0x75, 0x65, 0x73, 0x74, 0x49, 0x64)
+	o = msgp.AppendString(o, z.RequestID)
+	// string "Verdict"
+	o = append(o, 0xa7, 0x56, 0x65, 0x72, 0x64, 0x69, 0x63, 0x74)
+	o = msgp.AppendInt(o, z.Verdict)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *GatherReply) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "Code":
+			z.Code, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Code")
+				return
+			}
+		case "Detail":
+			z.Detail, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Detail")
+				return
+			}
+		case "Receipts":
+			var zb0002 uint32
+			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Receipts")
+				return
+			}
+			if cap(z.Receipts) >= int(zb0002) {
+				z.Receipts = (z.Receipts)[:zb0002]
+			} else {
+				z.Receipts = make([]string, zb0002)
+			}
+			for za0001 := range z.Receipts {
+				z.Receipts[za0001], bts, err = msgp.ReadStringBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Receipts", za0001)
+					return
+				}
+			}
+		case "Records":
+			z.Records, bts, err = msgp.ReadBytesBytes(bts, z.Records)
+			if err != nil {
+				err = msgp.WrapError(err, "Records")
+				return
+			}
+		case "RequestId":
+			z.RequestID, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "RequestID")
+				return
+			}
+		case "Verdict":
+			z.Verdict, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Verdict")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *GatherReply) Msgsize() (s int) {
+	s = 1 + 5 + msgp.StringPrefixSize + len(z.Code) + 7 + msgp.StringPrefixSize + len(z.Detail) + 9 + msgp.ArrayHeaderSize
+	for za0001 := range z.Receipts {
+		s += msgp.StringPrefixSize + len(z.Receipts[za0001])
+	}
+	s += 8 + msgp.BytesPrefixSize + len(z.Records) + 10 + msgp.StringPrefixSize + len(z.RequestID) + 8 + msgp.IntSize
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *GatherRequest) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 15
+	// string "Body"
+	o = append(o, 0x8f, 0xa4, 0x42, 0x6f, 0x64, 0x79)
+	o = msgp.AppendBytes(o, z.Body)
+	// string "ElapsedMicros"
+	o = append(o, 0xad, 0x45, 0x6c, 0x61, 0x70, 0x73, 0x65, 0x64, 0x4d, 0x69, 0x63, 0x72, 0x6f, 0x73)
+	o = msgp.AppendInt64(o, z.ElapsedMicros)
+	// string "Header"
+	o = append(o, 0xa6, 0x48, 0x65, 0x61, 0x64, 0x65, 0x72)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Header)))
+	for za0001 := range z.Header {
+		// map header, size 2
+		// string "Name"
+		o = append(o, 0x82, 0xa4, 0x4e, 0x61, 0x6d, 0x65)
+		o = msgp.AppendString(o, z.Header[za0001].Name)
+		// string "Value"
+		o = append(o, 0xa5, 0x56, 0x61, 0x6c, 0x75, 0x65)
+		o = msgp.AppendString(o, z.Header[za0001].Value)
+	}
+	// string "Host"
+	o = append(o, 0xa4, 0x48, 0x6f, 0x73, 0x74)
+	o = msgp.AppendString(o, z.Host)
+	// string "LeastShare"
+	o = append(o, 0xaa, 0x4c, 0x65, 0x61, 0x73, 0x74, 0x53, 0x68, 0x61, 0x72, 0x65)
+	o = msgp.AppendFloat64(o, z.LeastShare)
+	// string "LeftMicros"
+	o = append(o, 0xaa, 0x4c, 0x65, 0x66, 0x74, 0x4d, 0x69, 0x63, 0x72, 0x6f, 0x73)
+	o = msgp.AppendInt64(o, z.LeftMicros)
+	// string "MaxTries"
+	o = append(o, 0xa8, 0x4d, 0x61, 0x78, 0x54, 0x72, 0x69, 0x65, 0x73)
+	o = msgp.AppendInt(o, z.MaxTries)
+	// string "Method"
+	o = append(o, 0xa6, 0x4d, 0x65, 0x74, 0x68, 0x6f, 0x64)
+	o = msgp.AppendString(o, z.Method)
+	// string "Rank"
+	o = append(o, 0xa4, 0x52, 0x61, 0x6e, 0x6b)
+	o = msgp.AppendInt(o, z.Rank)
+	// string "RequestId"
+	o = append(o, 0xa9, 0x52, 0x65, 0x71, 0x75, 0x65, 0x73, 0x74, 0x49, 0x64)
+	o = msgp.AppendString(o, z.RequestID)
+	// string "Route"
+	o = append(o, 0xa5, 0x52, 0x6f, 0x75, 0x74, 0x65)
+	o = msgp.AppendString(o, z.Route)
+	// string "Shards"
+	o = append(o, 0xa6, 0x53, 0x68, 0x61, 0x72, 0x64, 0x73)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Shards)))
+	for za0002 := range z.Shards {
+		o = msgp.AppendString(o, z.Shards[za0002])
+	}
+	// string "Target"
+	o = append(o, 0xa6, 0x54, 0x61, 0x72, 0x67, 0x65, 0x74)
+	o = msgp.AppendString(o, z.Target)
+	// string "TargetMicros"
+	o = append(o, 0xac, 0x54, 0x61, 0x72, 0x67, 0x65, 0x74, 0x4d, 0x69, 0x63, 0x72, 0x6f, 0x73)
+	o = msgp.AppendInt64(o, z.TargetMicros)
+	// string "TopK"
+	o = append(o, 0xa4, 0x54, 0x6f, 0x70, 0x4b)
+	o = msgp.AppendInt(o, z.TopK)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *GatherRequest) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "Body":
+			z.Body, bts, err = msgp.ReadBytesBytes(bts, z.Body)
+			if err != nil {
+				err = msgp.WrapError(err, "Body")
+				return
+			}
+		case "ElapsedMicros":
+			z.ElapsedMicros, bts, err = msgp.ReadInt64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "ElapsedMicros")
+				return
+			}
+		case "Header":
+			var zb0002 uint32
+			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Header")
+				return
+			}
+			if cap(z.Header) >= int(zb0002) {
+				z.Header = (z.Header)[:zb0002]
+			} else {
+				z.Header = make([]HeaderField, zb0002)
+			}
+			for za0001 := range z.Header {
+				var zb0003 uint32
+				zb0003, bts, err = msgp.ReadMapHeaderBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Header", za0001)
+					return
+				}
+				for zb0003 > 0 {
+					zb0003--
+					field, bts, err = msgp.ReadMapKeyZC(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "Header", za0001)
+						return
+					}
+					switch msgp.UnsafeString(field) {
+					case "Name":
+						z.Header[za0001].Name, bts, err = msgp.ReadStringBytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Header", za0001, "Name")
+							return
+						}
+					case "Value":
+						z.Header[za0001].Value, bts, err = msgp.ReadStringBytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Header", za0001, "Value")
+							return
+						}
+					default:
+						bts, err = msgp.Skip(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Header", za0001)
+							return
+						}
+					}
+				}
+			}
+		case "Host":
+			z.Host, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Host")
+				return
+			}
+		case "LeastShare":
+			z.LeastShare, bts, err = msgp.ReadFloat64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "LeastShare")
+				return
+			}
+		case "LeftMicros":
+			z.LeftMicros, bts, err = msgp.ReadInt64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "LeftMicros")
+				return
+			}
+		case "MaxTries":
+			z.MaxTries, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "MaxTries")
+				return
+			}
+		case "Method":
+			z.Method, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Method")
+				return
+			}
+		case "Rank":
+			z.Rank, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Rank")
+				return
+			}
+		case "RequestId":
+			z.RequestID, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "RequestID")
+				return
+			}
+		case "Route":
+			z.Route, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Route")
+				return
+			}
+		case "Shards":
+			var zb0004 uint32
+			zb0004, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Shards")
+				return
+			}
+			if cap(z.Shards) >= int(zb0004) {
+				z.Shards = (z.Shards)[:zb0004]
+			} else {
+				z.Shards = make([]string, zb0004)
+			}
+			for za0002 := range z.Shards {
+				z.Shards[za0002], bts, err = msgp.ReadStringBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Shards", za0002)
+					return
+				}
+			}
+		case "Target":
+			z.Target, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Target")
+				return
+			}
+		case "TargetMicros":
+			z.TargetMicros, bts, err = msgp.ReadInt64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "TargetMicros")
+				return
+			}
+		case "TopK":
+			z.TopK, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "TopK")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *GatherRequest) Msgsize() (s int) {
+	s = 1 + 5 + msgp.BytesPrefixSize + len(z.Body) + 14 + msgp.Int64Size + 7 + msgp.ArrayHeaderSize
+	for za0001 := range z.Header {
+		s += 1 + 5 + msgp.StringPrefixSize + len(z.Header[za0001].Name) + 6 + msgp.StringPrefixSize + len(z.Header[za0001].Value)
+	}
+	s += 5 + msgp.StringPrefixSize + len(z.Host) + 11 + msgp.Float64Size + 11 + msgp.Int64Size + 9 + msgp.IntSize + 7 + msgp.StringPrefixSize + len(z.Method) + 5 + msgp.IntSize + 10 + msgp.StringPrefixSize + len(z.RequestID) + 6 + msgp.StringPrefixSize + len(z.Route) + 7 + msgp.ArrayHeaderSize
+	for za0002 := range z.Shards {
+		s += msgp.StringPrefixSize + len(z.Shards[za0002])
+	}
+	s += 7 + msgp.StringPrefixSize + len(z.Target) + 13 + msgp.Int64Size + 5 + msgp.IntSize
+	return
+}
+
 // MarshalMsg implements msgp.Marshaler
 func (z *Gossip) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
@@ -440,6 +810,67 @@
 	return
 }
 
+// MarshalMsg implements msgp.Marshaler
+func (z HeaderField) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 2
+	// string "Name"
+	o = append(o, 0x82, 0xa4, 0x4e, 0x61, 0x6d, 0x65)
+	o = msgp.AppendString(o, z.Name)
+	// string "Value"
+	o = append(o, 0xa5, 0x56, 0x61, 0x6c, 0x75, 0x65)
+	o = msgp.AppendString(o, z.Value)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *HeaderField) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "Name":
+			z.Name, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Name")
+				return
+			}
+		case "Value":
+			z.Value, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Value")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z HeaderField) Msgsize() (s int) {
+	s = 1 + 5 + msgp.StringPrefixSize + len(z.Name) + 6 + msgp.StringPrefixSize + len(z.Value)
+	return
+}
+
 // MarshalMsg implements msgp.Marshaler
 func (z *Mark) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
--- /dev/null
+++ b/peer/delegator.go
@@ -0,0 +1,237 @@
+package peer
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"slices"
+	"time"
+
+	"fescuehall/dispatch"
+	"fescuehall/exchange"
+	"fescuehall/logbook"
+	"fescuehall/message"
+	"fescuehall/replica"
+	"fescuehall/roster"
+	"fescuehall/route"
+	"fescuehall/verdict"
+)
+
+const (
+	// leastBundle is the least number of shards worth a message to a peer: the
+	// message costs about as many bytes as two shards' own.
+	leastBundle = 3
+	// silenceTime past its target an answer is overdue from a peer that works:
+	// the peer answers with what it has at the target.
+	silenceTime = 150 * time.Millisecond
+)
+
+// Delegator hands shards that have no replica near this host to peers that are
+// near one. Set the fields before use.
+type Delegator struct {
+	// Domain is this host's failure domain.
+	Domain string
+	// Name is this host's name.
+	Name string
+	// Dispatcher answers peers' bundles.
+	Dispatcher *dispatch.Dispatcher
+	// Peers returns the hosts known.
+	Peers func() []Peer
+	// Replicas returns the replicas of a service that take work.
+	Replicas func(service string) []roster.Replica
+	// Ejected reports whether a replica is out of use for now.
+	Ejected func(id string) bool
+	// Call sends a request to a peer. Errors are *verdict.Failure.
+	Call func(ctx context.Context, peer Peer, request *message.GatherRequest) (*message.GatherReply, error)
+	// Picker chooses among peers, by their names.
+	Picker *replica.Picker
+	// Event is told of each decision.
+	Event func(event string, fields logbook.Fields)
+}
+
+// Plan returns the bundles that peers are to gather: for each shard without a
+// replica in this host's failure domain, a domain that has one, with as few
+// domains as a greedy choice gives.
+func (delegator *Delegator) Plan(shards []string) []dispatch.Bundle {
+	far := delegator.far(shards)
+	if len(far) < leastBundle {
+		return nil
+	}
+	peers := delegator.usable()
+	var bundles []dispatch.Bundle
+	for len(peers) > 0 {
+		domain, covered := widest(far, peers)
+		if len(covered) < leastBundle {
+			break
+		}
+		bundles = append(bundles, dispatch.Bundle{Peer: delegator.pick(peers[domain]), Shards: covered})
+		for _, shard := range covered {
+			delete(far, shard)
+		}
+		delete(peers, domain)
+	}
+	return bundles
+}
+
+// far returns the shards without a replica in this host's failure domain, with
+// the domains that have one.
+func (delegator *Delegator) far(shards []string) map[string][]string {
+	far := make(map[string][]string)
+	for _, shard := range shards {
+		near := false
+		var domains []string
+		for _, replica := range delegator.Replicas(shard) {
+			if delegator.Ejected(replica.ID) {
+				continue
+			}
+			near = near || replica.FailureDomain == delegator.Domain
+			domains = append(domains, replica.FailureDomain)
+		}
+		if !near && len(domains) > 0 {
+			far[shard] = domains
+		}
+	}
+	return far
+}
+
+// usable returns the names of peers that answer, by failure domain.
+func (delegator *Delegator) usable() map[string][]string {
+	usable := make(map[string][]string)
+	for _, peer := range delegator.Peers() {
+		if peer.FailureDomain != delegator.Domain && !delegator.Picker.Status(peer.Name).Ejected {
+			usable[peer.FailureDomain] = append(usable[peer.FailureDomain], peer.Name)
+		}
+	}
+	return usable
+}
+
+// widest returns the failure domain that covers most shards, one at random of
+// those that cover as many.
+func widest(far map[string][]string, peers map[string][]string) (string, []string) {
+	var best string
+	var covered []string
+	// Maps are walked in random order.
+	for domain := range peers {
+		var shards []string
+		for shard, domains := range far {
+			if slices.Contains(domains, domain) {
+				shards = append(shards, shard)
+			}
+		}
+		if len(shards) > len(covered) || len(shards) == len(covered) && rand.IntN(2) == 0 {
+			best, covered = domain, shards
+		}
+	}
+	return best, covered
+}
+
+// pick chooses one of several peers and counts the bundle as its own.
+func (delegator *Delegator) pick(names []string) string {
+	return names[delegator.Picker.Pick(names)]
+}
+
+// Ask lets a peer gather a bundle.
+func (delegator *Delegator) Ask(ctx context.Context, request *dispatch.Request, bundle dispatch.Bundle) *dispatch.Gathered {
+	started := time.Now()
+	bounded, cancel := context.WithDeadline(ctx, overdue(request))
+	defer cancel()
+	reply, failure := delegator.exchange(bounded, request, bundle, started)
+	took := time.Since(started)
+	if failure == nil {
+		delegator.Picker.Done(bundle.Peer, replica.Result{Took: took})
+		return &dispatch.Gathered{Receipts: reply.Receipts, Records: reply.Records}
+	}
+	withdrawn := ctx.Err() != nil
+	delegator.Picker.Done(bundle.Peer, replica.Result{Took: took, Failed: !withdrawn, Lost: !withdrawn, Cancelled: withdrawn})
+	if !withdrawn {
+		delegator.Event("peer failed", logbook.Fields{"id": request.ID, "peer": bundle.Peer, "shards": len(bundle.Shards), "took_ms": took.Milliseconds(), "verdict": failure.Verdict.String(), "detail": failure.Detail})
+	}
+	return &dispatch.Gathered{Failure: failure}
+}
+
+func (delegator *Delegator) exchange(ctx context.Context, request *dispatch.Request, bundle dispatch.Bundle, now time.Time) (*message.GatherReply, *verdict.Failure) {
+	peers := delegator.Peers()
+	place := slices.IndexFunc(peers, func(peer Peer) bool { return peer.Name == bundle.Peer })
+	if place < 0 {
+		return nil, verdict.New(verdict.NotRun, verdict.Unreachable, "host %s has left", bundle.Peer)
+	}
+	reply, err := delegator.Call(ctx, peers[place], encode(request, bundle, now))
+	if err != nil {
+		return nil, verdict.Of(err)
+	}
+	if reply.RequestID != request.ID {
+		return nil, verdict.New(verdict.MayHaveRun, verdict.ReplyMismatch, "host %s answered request %q", bundle.Peer, reply.RequestID)
+	}
+	if reply.Code != "" {
+		return nil, verdict.New(verdict.Verdict(reply.Verdict), verdict.Code(reply.Code), "host %s: %s", bundle.Peer, reply.Detail)
+	}
+	return reply, nil
+}
+
+// overdue is when a peer that works has answered.
+func overdue(request *dispatch.Request) time.Time {
+	late := request.Received.Add(request.Route.Target + silenceTime)
+	if request.Route.Target > 0 && late.Before(request.Deadline) {
+		return late
+	}
+	return request.Deadline
+}
+
+func encode(request *dispatch.Request, bundle dispatch.Bundle, now time.Time) *message.GatherRequest {
+	asked := request.Route
+	made := &message.GatherRequest{
+		RequestID:     request.ID,
+		Route:         asked.Name,
+		Rank:          asked.Rank,
+		Shards:        bundle.Shards,
+		TopK:          asked.TopK,
+		LeastShare:    asked.LeastShare,
+		MaxTries:      asked.MaxTries,
+		TargetMicros:  asked.Target.Microseconds(),
+		Method:        request.Content.Method,
+		Host:          request.Content.Host,
+		Target:        request.Content.Target,
+		Body:          request.Content.Body,
+		ElapsedMicros: now.Sub(request.Received).Microseconds(),
+		LeftMicros:    request.Deadline.Sub(now).Microseconds(),
+	}
+	for name, values := range request.Content.Header {
+		for _, value := range values {
+			made.Header = append(made.Header, message.HeaderField{Name: name, Value: value})
+		}
+	}
+	return made
+}
+
+// Answer gathers a bundle for a peer.
+func (delegator *Delegator) Answer(ctx context.Context, asked *message.GatherRequest) *message.GatherReply {
+	now := time.Now()
+	header := make(http.Header, len(asked.Header))
+	for _, field := range asked.Header {
+		header[field.Name] = append(header[field.Name], field.Value)
+	}
+	answer := delegator.Dispatcher.Serve(ctx, &dispatch.Request{
+		ID: asked.RequestID,
+		Route: &route.Route{
+			Name:       asked.Route,
+			Idempotent: true,
+			Target:     time.Duration(asked.TargetMicros) * time.Microsecond,
+			MaxTries:   asked.MaxTries,
+			Rank:       asked.Rank,
+			Shards:     asked.Shards,
+			TopK:       asked.TopK,
+			LeastShare: asked.LeastShare,
+		},
+		Received: now.Add(-time.Duration(asked.ElapsedMicros) * time.Microsecond),
+		Deadline: now.Add(time.Duration(asked.LeftMicros) * time.Microsecond),
+		Hop:      true,
+		Content:  &exchange.Request{Method: asked.Method, Host: asked.Host, Target: asked.Target, Header: header, Body: asked.Body},
+	})
+	reply := &message.GatherReply{RequestID: asked.RequestID, Receipts: answer.Receipts, Records: answer.Records}
+	if answer.Failure != nil {
+		reply.Verdict = int(answer.Failure.Verdict)
+		reply.Code = string(answer.Failure.Code)
+		reply.Detail = answer.Failure.Detail
+	}
+	return reply
+}
