rank: throttle a service's requests by what was in time

Change: Throttle refuses a part of the requests, as not run, following the share that was in time, and counts more urgent ranks against less urgent ones.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -11,6 +11,7 @@
 
 	"fescuehall/exchange"
 	"fescuehall/logbook"
+	"fescuehall/rank"
 	"fescuehall/replica"
 	"fescuehall/retry"
 	"fescuehall/roster"
@@ -112,8 +113,9 @@
 	// Event is told of each decision.
 	Event func(event string, fields logbook.Fields)
 
-	services sync.Map
-	routes   sync.Map
+	services  sync.Map
+	routes    sync.Map
+	throttles sync.Map
 }
 
 const (
@@ -144,6 +146,16 @@
 	return found.(*retry.Budget)
 }
 
+// throttle returns the throttle of the services that a request needs. Routes to
+// the same services share it.
+func (dispatcher *Dispatcher) throttle(service string) *rank.Throttle {
+	if found, ok := dispatcher.throttles.Load(service); ok {
+		return found.(*rank.Throttle)
+	}
+	found, _ := dispatcher.throttles.LoadOrStore(service, &rank.Throttle{Now: time.Now, Random: dispatcher.Random})
+	return found.(*rank.Throttle)
+}
+
 // delay returns the hedge delay of a route, learnt from its tries.
 func (dispatcher *Dispatcher) delay(route *route.Route) *retry.Delay {
 	if found, ok := dispatcher.routes.Load(route.Name); ok {
@@ -173,12 +185,21 @@
 // has left, which ends ctx.
 func (dispatcher *Dispatcher) Serve(ctx context.Context, request *Request) *Answer {
 	run := newRun(dispatcher, request)
+	// A peer's bundle was admitted by the peer.
+	if !request.Hop {
+		throttle := dispatcher.throttle(run.parts[0].service)
+		if admitted, refusal := throttle.Admit(request.Route.Rank); !admitted {
+			return run.refuse(refusal)
+		}
+		defer func() { throttle.Done(request.Route.Rank, run.inTime) }()
+	}
 	if request.Route.Gathers() && !request.Hop && dispatcher.Plan != nil {
 		run.startBundles()
 	}
 	run.startAll()
 	gone := run.wait(ctx)
 	answer := run.answer(gone)
+	run.inTime = gone || answer.Failure == nil && run.beforeTarget(time.Now())
 	run.close(gone)
 	run.log(answer, gone)
 	return answer
--- a/dispatch/result.go
+++ b/dispatch/result.go
@@ -12,6 +12,18 @@
 // replica's usual work.
 const retryAfter = 60 * time.Millisecond
 
+// refusedRetryAfter is when a request that was refused for load may come back:
+// long enough for a burst to thin out, short against the deadlines.
+const refusedRetryAfter = 250 * time.Millisecond
+
+// refuse answers a request that is not admitted.
+func (run *run) refuse(refusal float64) *Answer {
+	run.cancel()
+	refused := &Answer{Failure: verdict.New(verdict.NotRun, verdict.Overload, "too few requests are answered in time"), RetryAfter: refusedRetryAfter}
+	run.dispatcher.Event("refused", logbook.Fields{"id": run.request.ID, "route": run.request.Route.Name, "rank": run.request.Route.Rank, "version": run.request.Version, "chance": refusal})
+	return refused
+}
+
 // answer returns the answer to what is in.
 func (run *run) answer(gone bool) *Answer {
 	if gone {
--- a/dispatch/run.go
+++ b/dispatch/run.go
@@ -15,6 +15,8 @@
 	answerMargin = 12 * time.Millisecond
 	// hopMargin is kept besides for the way through another host.
 	hopMargin = 2 * time.Millisecond
+	// cutSlack is how late a timer may be.
+	cutSlack = 5 * time.Millisecond
 	// deadlineMargin is kept of a deadline for the way back.
 	deadlineMargin = 5 * time.Millisecond
 	// lingerTime lets the losers of a request end, which keeps their connections.
@@ -74,7 +76,7 @@
 	hedges     int
 	retries    int
 	cut        bool
-	slowest    *flight
+	inTime     bool
 }
 
 func newRun(dispatcher *Dispatcher, request *Request) *run {
@@ -98,6 +100,13 @@
 	return run
 }
 
+// beforeTarget reports whether an answer sent now is of full use. An answer
+// that was cut at the target is.
+func (run *run) beforeTarget(now time.Time) bool {
+	target := run.request.Route.Target
+	return target == 0 || run.cut && now.Before(run.cutAt.Add(cutSlack)) || now.Before(run.request.Received.Add(target-answerMargin))
+}
+
 func (run *run) startAll() {
 	for place, part := range run.parts {
 		if part.bundle != nil {
@@ -222,9 +231,6 @@
 	part := run.parts[flight.place]
 	part.running--
 	run.inFlight--
-	if run.slowest == nil || flight.started.Before(run.slowest.started) {
-		run.slowest = flight
-	}
 	if part.ended() {
 		return
 	}
--- a/peer/delegator.go
+++ b/peer/delegator.go
@@ -177,6 +177,13 @@
 	return request.Deadline
 }
 
+// leastShare is the least share of a bundle: it may miss as many shards as the
+// whole answer may.
+func leastShare(asked *route.Route, bundled int) float64 {
+	mayMiss := len(asked.Shards) - asked.LeastParts()
+	return float64(max(0, bundled-mayMiss)) / float64(bundled)
+}
+
 func encode(request *dispatch.Request, bundle dispatch.Bundle, now time.Time) *message.GatherRequest {
 	asked := request.Route
 	made := &message.GatherRequest{
@@ -185,7 +192,7 @@
 		Rank:          asked.Rank,
 		Shards:        bundle.Shards,
 		TopK:          asked.TopK,
-		LeastShare:    asked.LeastShare,
+		LeastShare:    leastShare(asked, len(bundle.Shards)),
 		MaxTries:      asked.MaxTries,
 		TargetMicros:  asked.Target.Microseconds(),
 		Method:        request.Content.Method,
--- a/replica/picker.go
+++ b/replica/picker.go
@@ -29,9 +29,9 @@
 	Now func() time.Time
 	// Random returns a number in [0, n).
 	Random func(n int) int
-	// Weight makes a replica dearer by a factor, as one that is further away;
-	// nil weighs all alike.
-	Weight func(address string) float64
+	// Distance makes a replica dearer by a time, as one that is further away; nil
+	// takes all alike.
+	Distance func(address string) time.Duration
 
 	states sharded[*state]
 }
@@ -66,7 +66,8 @@
 }
 
 // Pick returns the place of the replica to try among addresses: the better of
-// two at random, ejected ones only when there is no other. It returns -1 when
+// two at random, or the best when distances differ, ejected ones only when
+// there is no other. It returns -1 when
 // there is none, and counts the try as outstanding otherwise.
 func (picker *Picker) Pick(addresses []string) int {
 	if len(addresses) == 0 {
@@ -78,18 +79,42 @@
 		picker.Start(addresses[chosen])
 		return chosen
 	}
+	chosen := picker.better(addresses, open)
+	if picker.Distance != nil {
+		chosen = picker.best(addresses, open)
+	}
+	picker.Start(addresses[chosen])
+	return chosen
+}
+
+// better returns the better of two at random, so that hosts that know the same
+// do not all go to one replica.
+func (picker *Picker) better(addresses []string, open []int) int {
 	first := open[picker.Random(len(open))]
 	second := open[picker.Random(len(open))]
 	for len(open) > 1 && second == first {
 		second = open[picker.Random(len(open))]
 	}
 	if picker.score(addresses[second]) < picker.score(addresses[first]) {
-		first = second
+		return second
 	}
-	picker.Start(addresses[first])
 	return first
 }
 
+// best returns the best of all. Distances differ from host to host, which spreads
+// the hosts.
+func (picker *Picker) best(addresses []string, open []int) int {
+	start := picker.Random(len(open))
+	chosen, least := -1, 0.0
+	for step := range open {
+		place := open[(start+step)%len(open)]
+		if score := picker.score(addresses[place]); chosen < 0 || score < least {
+			chosen, least = place, score
+		}
+	}
+	return chosen
+}
+
 // Start counts a try as outstanding.
 func (picker *Picker) Start(address string) {
 	picker.with(address, func(known *state) {
@@ -130,8 +155,8 @@
 	picker.with(address, func(known *state) {
 		score = float64(known.expected(now)+1) * float64(1+known.outstanding+known.waiting)
 	})
-	if picker.Weight != nil {
-		score *= picker.Weight(address)
+	if picker.Distance != nil {
+		score += float64(picker.Distance(address))
 	}
 	return score
 }
