dispatch: end the tries that lost a part after 10 ms

Cause: losers ran on for 150 ms after the whole request, in slots that others waited for. Change: a part's losers are withdrawn 10 ms after it is in; the time they took counts for the hedge delay. The throttle admits 2.2 times what was in time.

--- a/dispatch/run.go
+++ b/dispatch/run.go
@@ -19,8 +19,9 @@
 	cutSlack = 5 * time.Millisecond
 	// deadlineMargin is kept of a deadline for the way back.
 	deadlineMargin = 5 * time.Millisecond
-	// lingerTime lets the losers of a request end, which keeps their connections.
-	lingerTime = 150 * time.Millisecond
+	// lingerTime lets the losers of a part end, which keeps their connections.
+	// Longer than a new connection takes would keep slots from other work.
+	lingerTime = 10 * time.Millisecond
 	// maxDials bounds the tries of one shard that reach no replica.
 	maxDials = 4
 )
@@ -30,6 +31,7 @@
 type part struct {
 	service string
 	tried   map[string]bool
+	flights []*flight
 	// mayRun counts the tries that run or may have run.
 	mayRun  int
 	running int
@@ -56,6 +58,8 @@
 	replica roster.Replica
 	started time.Time
 	hedge   bool
+	ctx     context.Context
+	cancel  context.CancelFunc
 	reply   *Reply
 }
 
@@ -132,6 +136,8 @@
 		return false
 	}
 	flight := &flight{place: place, replica: candidates[chosen], started: time.Now(), hedge: hedge}
+	flight.ctx, flight.cancel = context.WithCancel(run.ctx)
+	part.flights = append(part.flights, flight)
 	part.tried[flight.replica.ID] = true
 	part.mayRun++
 	part.running++
@@ -160,7 +166,8 @@
 
 // fly runs one try to its end, which may be after the request's own.
 func (run *run) fly(flight *flight) {
-	flight.reply = run.dispatcher.Send(run.ctx, &Try{Request: run.request, Replica: flight.replica})
+	flight.reply = run.dispatcher.Send(flight.ctx, &Try{Request: run.request, Replica: flight.replica})
+	flight.cancel()
 	took := time.Since(flight.started)
 	failure := flight.reply.Failure
 	result := replica.Result{Took: took, Waiting: flight.reply.Load.Waiting, Failed: failure != nil}
@@ -169,7 +176,9 @@
 		result.Cancelled = failure.Code == verdict.Cancelled
 	}
 	run.dispatcher.Picker.Done(flight.replica.ID, result)
-	if failure == nil {
+	if failure == nil || result.Cancelled {
+		// A try that was withdrawn took at least that long. Without it the delay
+		// would learn from fast tries alone.
 		run.dispatcher.delay(run.request.Route).Add(took)
 	}
 	run.landings <- flight
@@ -239,11 +248,25 @@
 		part.reply = flight.reply
 		run.good++
 		run.open--
+		part.withdraw()
 		return
 	}
 	run.fail(part, flight, failure)
 }
 
+// withdraw ends the tries that lost, after a while.
+func (part *part) withdraw() {
+	if part.running == 0 {
+		return
+	}
+	flights := part.flights
+	time.AfterFunc(lingerTime, func() {
+		for _, flight := range flights {
+			flight.cancel()
+		}
+	})
+}
+
 func (run *run) fail(part *part, flight *flight, failure *verdict.Failure) {
 	part.failed = flight.reply
 	part.joined = max(part.joined, failure.Verdict)
--- a/rank/throttle.go
+++ b/rank/throttle.go
@@ -24,7 +24,7 @@
 const (
 	// throttleFactor times the requests in time are admitted: less would refuse
 	// at chance misses, more would fill queues with late work.
-	throttleFactor = 1.6
+	throttleFactor = 2.2
 	// throttleFree requests are admitted whatever became of others, so that
 	// recovery is seen.
 	throttleFree = 3
--- a/retry/retry.go
+++ b/retry/retry.go
@@ -86,8 +86,8 @@
 const (
 	// usualSamples make an estimate of the 98th percentile from ten of them.
 	usualSamples = 500
-	maxMicros     = 60_000_000
-	digits        = 2
+	maxMicros    = 60_000_000
+	digits       = 2
 )
 
 // Add records the time of a sub-request.
