feed: let one host of a domain read the store for the others

Change: the host of a domain that rendezvous hashing chooses reads; the others ask it each 0.4 s, and read for themselves when it does not answer or its lists are older than 1.5 s.

--- /dev/null
+++ b/feed/follower.go
@@ -0,0 +1,120 @@
+package feed
+
+import (
+	"context"
+	"fmt"
+	"sync/atomic"
+	"time"
+
+	"fescuehall/message"
+	"fescuehall/roster"
+	"fescuehall/shard"
+)
+
+const (
+	// readers is how many hosts of a failure domain read the store. A second one
+	// would double the calls; while the one is lost, all read for themselves.
+	readers = 1
+	// askedHosts is how many hosts are asked in turn, the reader first. The next
+	// is the reader as soon as the first is off the list.
+	askedHosts = 2
+	// mostAge of lists is taken from another host. With the pauses of reading and
+	// asking it stays under the platform's shortest bound for leaving replicas.
+	mostAge = 1500 * time.Millisecond
+	// fedTime is how long a host relies on what it was told.
+	fedTime = time.Second
+	// askTimeout bounds one question.
+	askTimeout = 250 * time.Millisecond
+	readerDuty = "ReadStore"
+)
+
+// Follower takes what a reader of the same failure domain read. Set the fields
+// before use.
+type Follower struct {
+	Name   string
+	Domain string
+	// Now is the clock.
+	Now func() time.Time
+	// Hosts returns the hosts known.
+	Hosts func() []shard.Host
+	// Version returns the version of the routes in force.
+	Version func() uint64
+	// Ask asks a host.
+	Ask func(ctx context.Context, host shard.Host, fetch *message.FeedFetch) (*message.FeedNews, error)
+	// TakeConfig, TakeReplicas and TakeHosts take what has changed.
+	TakeConfig   func(config []byte) error
+	TakeReplicas func(replicas []roster.Replica)
+	TakeHosts    func(hosts []shard.Host)
+	// Confirm is told that the lists have not changed.
+	Confirm func()
+
+	source   string
+	sequence uint64
+	fedAt    atomic.Int64
+}
+
+// Reads reports whether this host has to read the store: it is a reader, or
+// none tells it what it read.
+func (follower *Follower) Reads() bool {
+	if order := follower.order(); len(order) == 0 || order[0].Name == follower.Name {
+		return true
+	}
+	return follower.Now().Sub(time.Unix(0, follower.fedAt.Load())) > fedTime
+}
+
+// order returns the hosts to ask, the reader first.
+func (follower *Follower) order() []shard.Host {
+	return shard.New(follower.Hosts()).Chosen(readerDuty, follower.Domain, max(readers, askedHosts))
+}
+
+// Step asks once, unless this host is a reader.
+func (follower *Follower) Step(ctx context.Context) error {
+	var failed error
+	for _, host := range follower.order() {
+		if host.Name == follower.Name {
+			return nil
+		}
+		if failed = follower.ask(ctx, host); failed == nil {
+			follower.fedAt.Store(follower.Now().UnixNano())
+			return nil
+		}
+	}
+	return failed
+}
+
+func (follower *Follower) ask(ctx context.Context, host shard.Host) error {
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	news, err := follower.Ask(ctx, host, &message.FeedFetch{Version: follower.Version(), Source: follower.source, Sequence: follower.sequence})
+	if err != nil {
+		return err
+	}
+	if age := time.Duration(news.AgeMicros) * time.Microsecond; news.AgeMicros == noLists || age > mostAge {
+		return fmt.Errorf("host %s read its lists %v ago", host.Name, age)
+	}
+	if len(news.Config) > 0 {
+		if err := follower.TakeConfig(news.Config); err != nil {
+			return err
+		}
+	}
+	if news.Unchanged {
+		follower.Confirm()
+		return nil
+	}
+	follower.take(news)
+	return nil
+}
+
+func (follower *Follower) take(news *message.FeedNews) {
+	replicas := make([]roster.Replica, len(news.Replicas))
+	for place, listed := range news.Replicas {
+		replicas[place] = decodeReplica(listed)
+	}
+	hosts := make([]shard.Host, len(news.Hosts))
+	for place, listed := range news.Hosts {
+		hosts[place] = shard.Host{Name: listed.Name, Address: listed.Address, FailureDomain: listed.FailureDomain}
+	}
+	follower.TakeReplicas(replicas)
+	follower.TakeHosts(hosts)
+	follower.source, follower.sequence = news.Source, news.Sequence
+}
--- a/frame/frame.go
+++ b/frame/frame.go
@@ -28,7 +28,9 @@
 	ConfigDelta
 	GatherRequest
 	GatherReply
-	lastType = GatherReply
+	FeedFetch
+	FeedNews
+	lastType = FeedNews
 )
 
 // Frame is one message. Correlation matches a reply to its request on a
--- a/message/message.go
+++ b/message/message.go
@@ -33,6 +33,45 @@
 	Have uint64 `json:"Have"`
 }
 
+// FeedFetch asks a host that reads the store for what it read.
+type FeedFetch struct {
+	// Sequence of these lists at that host.
+	Sequence uint64 `json:"Sequence"`
+
+	// Host of the lists that it holds.
+	Source string `json:"Source"`
+
+	// Version of the routes that the asking host holds.
+	Version uint64 `json:"Version"`
+}
+
+// FeedNews is what a host read from the store.
+type FeedNews struct {
+	// Age of the lists, -1 when there are none.
+	AgeMicros int64 `json:"AgeMicros"`
+
+	// The configuration as operators wrote it, empty when the asking host holds it.
+	Config []byte `json:"Config"`
+
+	// Entry hosts.
+	Hosts []ListedHost `json:"Hosts"`
+
+	// Replicas of all services.
+	Replicas []ListedReplica `json:"Replicas"`
+
+	// Grows when the lists change.
+	Sequence uint64 `json:"Sequence"`
+
+	// Host that read the lists.
+	Source string `json:"Source"`
+
+	// Set when the asking host holds the lists.
+	Unchanged bool `json:"Unchanged"`
+
+	// Version of the routes.
+	Version uint64 `json:"Version"`
+}
+
 // GatherReply is a peer's answer to a GatherRequest, a success when Code is empty.
 type GatherReply struct {
 	// Code of a failure.
@@ -137,6 +176,45 @@
 	Value string `json:"Value"`
 }
 
+// ListedHost is an entry host as the store lists it.
+type ListedHost struct {
+	// IP:port for frames.
+	Address string `json:"Address"`
+
+	// Failure domain.
+	FailureDomain string `json:"FailureDomain"`
+
+	// Host name.
+	Name string `json:"Name"`
+}
+
+// ListedReplica is a replica of a service as the store lists it.
+type ListedReplica struct {
+	// IP:port.
+	Address string `json:"Address"`
+
+	// Start of the process, Unix milliseconds.
+	Born int64 `json:"Born"`
+
+	// Failure domain.
+	FailureDomain string `json:"FailureDomain"`
+
+	// Identity.
+	ID string `json:"Id"`
+
+	// Set when it takes no new work.
+	Leaving bool `json:"Leaving"`
+
+	// Service.
+	Service string `json:"Service"`
+
+	// Requests it runs at a time.
+	Slots int `json:"Slots"`
+
+	// How much longer it is slow after its start.
+	WarmupMicros int64 `json:"WarmupMicros"`
+}
+
 // Mark says that a backend server is leaving.
 type Mark struct {
 	// Set when a newer instance has been seen ready.
--- a/message/message_gen.go
+++ b/message/message_gen.go
@@ -282,6 +282,279 @@
 	return
 }
 
+// MarshalMsg implements msgp.Marshaler
+func (z FeedFetch) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 3
+	// string "Sequence"
+	o = append(o, 0x83, 0xa8, 0x53, 0x65, 0x71, 0x75, 0x65, 0x6e, 0x63, 0x65)
+	o = msgp.AppendUint64(o, z.Sequence)
+	// string "Source"
+	o = append(o, 0xa6, 0x53, 0x6f, 0x75, 0x72, 0x63, 0x65)
+	o = msgp.AppendString(o, z.Source)
+	// string "Version"
+	o = append(o, 0xa7, 0x56, 0x65, 0x72, 0x73, 0x69, 0x6f, 0x6e)
+	o = msgp.AppendUint64(o, z.Version)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *FeedFetch) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "Sequence":
+			z.Sequence, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Sequence")
+				return
+			}
+		case "Source":
+			z.Source, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Source")
+				return
+			}
+		case "Version":
+			z.Version, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Version")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z FeedFetch) Msgsize() (s int) {
+	s = 1 + 9 + msgp.Uint64Size + 7 + msgp.StringPrefixSize + len(z.Source) + 8 + msgp.Uint64Size
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *FeedNews) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 8
+	// string "AgeMicros"
+	o = append(o, 0x88, 0xa9, 0x41, 0x67, 0x65, 0x4d, 0x69, 0x63, 0x72, 0x6f, 0x73)
+	o = msgp.AppendInt64(o, z.AgeMicros)
+	// string "Config"
+	o = append(o, 0xa6, 0x43, 0x6f, 0x6e, 0x66, 0x69, 0x67)
+	o = msgp.AppendBytes(o, z.Config)
+	// string "Hosts"
+	o = append(o, 0xa5, 0x48, 0x6f, 0x73, 0x74, 0x73)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Hosts)))
+	for za0001 := range z.Hosts {
+		// map header, size 3
+		// string "Address"
+		o = append(o, 0x83, 0xa7, 0x41, 0x64, 0x64, 0x72, 0x65, 0x73, 0x73)
+		o = msgp.AppendString(o, z.Hosts[za0001].Address)
+		// string "FailureDomain"
+		o = append(o, 0xad, 0x46, 0x61, 0x69, 0x6c, 0x75, 0x72, 0x65, 0x44, 0x6f, 0x6d, 0x61, 0x69, 0x6e)
+		o = msgp.AppendString(o, z.Hosts[za0001].FailureDomain)
+		// string "Name"
+		o = append(o, 0xa4, 0x4e, 0x61, 0x6d, 0x65)
+		o = msgp.AppendString(o, z.Hosts[za0001].Name)
+	}
+	// string "Replicas"
+	o = append(o, 0xa8, 0x52, 0x65, 0x70, 0x6c, 0x69, 0x63, 0x61, 0x73)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Replicas)))
+	for za0002 := range z.Replicas {
+		o, err = z.Replicas[za0002].MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "Replicas", za0002)
+			return
+		}
+	}
+	// string "Sequence"
+	o = append(o, 0xa8, 0x53, 0x65, 0x71, 0x75, 0x65, 0x6e, 0x63, 0x65)
+	o = msgp.AppendUint64(o, z.Sequence)
+	// string "Source"
+	o = append(o, 0xa6, 0x53, 0x6f, 0x75, 0x72, 0x63, 0x65)
+	o = msgp.AppendString(o, z.Source)
+	// string "Unchanged"
+	o = append(o, 0xa9, 0x55, 0x6e, 0x63, 0x68, 0x61, 0x6e, 0x67, 0x65, 0x64)
+	o = msgp.AppendBool(o, z.Unchanged)
+	// string "Version"
+	o = append(o, 0xa7, 0x56, 0x65, 0x72, 0x73, 0x69, 0x6f, 0x6e)
+	o = msgp.AppendUint64(o, z.Version)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *FeedNews) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "AgeMicros":
+			z.AgeMicros, bts, err = msgp.ReadInt64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "AgeMicros")
+				return
+			}
+		case "Config":
+			z.Config, bts, err = msgp.ReadBytesBytes(bts, z.Config)
+			if err != nil {
+				err = msgp.WrapError(err, "Config")
+				return
+			}
+		case "Hosts":
+			var zb0002 uint32
+			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Hosts")
+				return
+			}
+			if cap(z.Hosts) >= int(zb0002) {
+				z.Hosts = (z.Hosts)[:zb0002]
+			} else {
+				z.Hosts = make([]ListedHost, zb0002)
+			}
+			for za0001 := range z.Hosts {
+				var zb0003 uint32
+				zb0003, bts, err = msgp.ReadMapHeaderBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Hosts", za0001)
+					return
+				}
+				for zb0003 > 0 {
+					zb0003--
+					field, bts, err = msgp.ReadMapKeyZC(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "Hosts", za0001)
+						return
+					}
+					switch msgp.UnsafeString(field) {
+					case "Address":
+						z.Hosts[za0001].Address, bts, err = msgp.ReadStringBytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Hosts", za0001, "Address")
+							return
+						}
+					case "FailureDomain":
+						z.Hosts[za0001].FailureDomain, bts, err = msgp.ReadStringBytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Hosts", za0001, "FailureDomain")
+							return
+						}
+					case "Name":
+						z.Hosts[za0001].Name, bts, err = msgp.ReadStringBytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Hosts", za0001, "Name")
+							return
+						}
+					default:
+						bts, err = msgp.Skip(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Hosts", za0001)
+							return
+						}
+					}
+				}
+			}
+		case "Replicas":
+			var zb0004 uint32
+			zb0004, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Replicas")
+				return
+			}
+			if cap(z.Replicas) >= int(zb0004) {
+				z.Replicas = (z.Replicas)[:zb0004]
+			} else {
+				z.Replicas = make([]ListedReplica, zb0004)
+			}
+			for za0002 := range z.Replicas {
+				bts, err = z.Replicas[za0002].UnmarshalMsg(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Replicas", za0002)
+					return
+				}
+			}
+		case "Sequence":
+			z.Sequence, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Sequence")
+				return
+			}
+		case "Source":
+			z.Source, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Source")
+				return
+			}
+		case "Unchanged":
+			z.Unchanged, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Unchanged")
+				return
+			}
+		case "Version":
+			z.Version, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Version")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *FeedNews) Msgsize() (s int) {
+	s = 1 + 10 + msgp.Int64Size + 7 + msgp.BytesPrefixSize + len(z.Config) + 6 + msgp.ArrayHeaderSize
+	for za0001 := range z.Hosts {
+		s += 1 + 8 + msgp.StringPrefixSize + len(z.Hosts[za0001].Address) + 14 + msgp.StringPrefixSize + len(z.Hosts[za0001].FailureDomain) + 5 + msgp.StringPrefixSize + len(z.Hosts[za0001].Name)
+	}
+	s += 9 + msgp.ArrayHeaderSize
+	for za0002 := range z.Replicas {
+		s += z.Replicas[za0002].Msgsize()
+	}
+	s += 9 + msgp.Uint64Size + 7 + msgp.StringPrefixSize + len(z.Source) + 10 + msgp.BoolSize + 8 + msgp.Uint64Size
+	return
+}
+
 // MarshalMsg implements msgp.Marshaler
 func (z *GatherReply) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
@@ -871,6 +1144,191 @@
 	return
 }
 
+// MarshalMsg implements msgp.Marshaler
+func (z ListedHost) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 3
+	// string "Address"
+	o = append(o, 0x83, 0xa7, 0x41, 0x64, 0x64, 0x72, 0x65, 0x73, 0x73)
+	o = msgp.AppendString(o, z.Address)
+	// string "FailureDomain"
+	o = append(o, 0xad, 0x46, 0x61, 0x69, 0x6c, 0x75, 0x72, 0x65, 0x44, 0x6f, 0x6d, 0x61, 0x69, 0x6e)
+	o = msgp.AppendString(o, z.FailureDomain)
+	// string "Name"
+	o = append(o, 0xa4, 0x4e, 0x61, 0x6d, 0x65)
+	o = msgp.AppendString(o, z.Name)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *ListedHost) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "Address":
+			z.Address, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Address")
+				return
+			}
+		case "FailureDomain":
+			z.FailureDomain, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "FailureDomain")
+				return
+			}
+		case "Name":
+			z.Name, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Name")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z ListedHost) Msgsize() (s int) {
+	s = 1 + 8 + msgp.StringPrefixSize + len(z.Address) + 14 + msgp.StringPrefixSize + len(z.FailureDomain) + 5 + msgp.StringPrefixSize + len(z.Name)
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *ListedReplica) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 8
+	// string "Address"
+	o = append(o, 0x88, 0xa7, 0x41, 0x64, 0x64, 0x72, 0x65, 0x73, 0x73)
+	o = msgp.AppendString(o, z.Address)
+	// string "Born"
+	o = append(o, 0xa4, 0x42, 0x6f, 0x72, 0x6e)
+	o = msgp.AppendInt64(o, z.Born)
+	// string "FailureDomain"
+	o = append(o, 0xad, 0x46, 0x61, 0x69, 0x6c, 0x75, 0x72, 0x65, 0x44, 0x6f, 0x6d, 0x61, 0x69, 0x6e)
+	o = msgp.AppendString(o, z.FailureDomain)
+	// string "Id"
+	o = append(o, 0xa2, 0x49, 0x64)
+	o = msgp.AppendString(o, z.ID)
+	// string "Leaving"
+	o = append(o, 0xa7, 0x4c, 0x65, 0x61, 0x76, 0x69, 0x6e, 0x67)
+	o = msgp.AppendBool(o, z.Leaving)
+	// string "Service"
+	o = append(o, 0xa7, 0x53, 0x65, 0x72, 0x76, 0x69, 0x63, 0x65)
+	o = msgp.AppendString(o, z.Service)
+	// string "Slots"
+	o = append(o, 0xa5, 0x53, 0x6c, 0x6f, 0x74, 0x73)
+	o = msgp.AppendInt(o, z.Slots)
+	// string "WarmupMicros"
+	o = append(o, 0xac, 0x57, 0x61, 0x72, 0x6d, 0x75, 0x70, 0x4d, 0x69, 0x63, 0x72, 0x6f, 0x73)
+	o = msgp.AppendInt64(o, z.WarmupMicros)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *ListedReplica) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "Address":
+			z.Address, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Address")
+				return
+			}
+		case "Born":
+			z.Born, bts, err = msgp.ReadInt64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Born")
+				return
+			}
+		case "FailureDomain":
+			z.FailureDomain, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "FailureDomain")
+				return
+			}
+		case "Id":
+			z.ID, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "ID")
+				return
+			}
+		case "Leaving":
+			z.Leaving, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Leaving")
+				return
+			}
+		case "Service":
+			z.Service, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Service")
+				return
+			}
+		case "Slots":
+			z.Slots, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Slots")
+				return
+			}
+		case "WarmupMicros":
+			z.WarmupMicros, bts, err = msgp.ReadInt64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "WarmupMicros")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *ListedReplica) Msgsize() (s int) {
+	s = 1 + 8 + msgp.StringPrefixSize + len(z.Address) + 5 + msgp.Int64Size + 14 + msgp.StringPrefixSize + len(z.FailureDomain) + 3 + msgp.StringPrefixSize + len(z.ID) + 8 + msgp.BoolSize + 8 + msgp.StringPrefixSize + len(z.Service) + 6 + msgp.IntSize + 13 + msgp.Int64Size
+	return
+}
+
 // MarshalMsg implements msgp.Marshaler
 func (z *Mark) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
--- a/peer/delegator.go
+++ b/peer/delegator.go
@@ -14,6 +14,7 @@
 	"fescuehall/replica"
 	"fescuehall/roster"
 	"fescuehall/route"
+	"fescuehall/shard"
 	"fescuehall/verdict"
 )
 
@@ -36,13 +37,13 @@
 	// Dispatcher answers peers' bundles.
 	Dispatcher *dispatch.Dispatcher
 	// Peers returns the hosts known.
-	Peers func() []Peer
+	Peers func() []shard.Host
 	// Replicas returns the replicas of a service that take work.
 	Replicas func(service string) []roster.Replica
 	// Ejected reports whether a replica is out of use for now.
 	Ejected func(id string) bool
 	// Call sends a request to a peer. Errors are *verdict.Failure.
-	Call func(ctx context.Context, peer Peer, request *message.GatherRequest) (*message.GatherReply, error)
+	Call func(ctx context.Context, peer shard.Host, request *message.GatherRequest) (*message.GatherReply, error)
 	// Picker chooses among peers, by their names.
 	Picker *replica.Picker
 	// Event is told of each decision.
@@ -151,7 +152,7 @@
 
 func (delegator *Delegator) exchange(ctx context.Context, request *dispatch.Request, bundle dispatch.Bundle, now time.Time) (*message.GatherReply, *verdict.Failure) {
 	peers := delegator.Peers()
-	place := slices.IndexFunc(peers, func(peer Peer) bool { return peer.Name == bundle.Peer })
+	place := slices.IndexFunc(peers, func(peer shard.Host) bool { return peer.Name == bundle.Peer })
 	if place < 0 {
 		return nil, verdict.New(verdict.NotRun, verdict.Unreachable, "host %s has left", bundle.Peer)
 	}
--- a/peer/list.go
+++ b/peer/list.go
@@ -6,6 +6,8 @@
 	"slices"
 	"sync"
 	"time"
+
+	"fescuehall/shard"
 )
 
 const (
@@ -19,29 +21,21 @@
 	expectedHosts = 12
 )
 
-// Peer is one entry host.
-type Peer struct {
-	Name          string
-	FailureDomain string
-	// Address takes other hosts' frames, IP:port.
-	Address string
-}
-
 // List is the entry hosts known. Set the fields before use.
 type List struct {
 	// Now is the clock.
 	Now func() time.Time
 	// Changed is told of each host that came or left; it may be nil.
-	Changed func(peer Peer, change string)
+	Changed func(peer shard.Host, change string)
 
 	mu      sync.Mutex
-	peers   []Peer
+	peers   []shard.Host
 	seen    map[string]time.Time
 	started time.Time
 }
 
 // Update takes a whole reading of the list.
-func (list *List) Update(peers []Peer) {
+func (list *List) Update(peers []shard.Host) {
 	list.mu.Lock()
 	defer list.mu.Unlock()
 	now := list.Now()
@@ -51,9 +45,7 @@
 	}
 	list.tell(peers)
 	list.peers = slices.Clone(peers)
-	for _, peer := range peers {
-		list.seen[peer.Name] = now
-	}
+	list.stamp(now)
 	for name, at := range list.seen {
 		if now.Sub(at) > countTime {
 			delete(list.seen, name)
@@ -61,7 +53,20 @@
 	}
 }
 
-func (list *List) tell(next []Peer) {
+// Confirm takes a reading that found the list unchanged.
+func (list *List) Confirm() {
+	list.mu.Lock()
+	defer list.mu.Unlock()
+	list.stamp(list.Now())
+}
+
+func (list *List) stamp(now time.Time) {
+	for _, peer := range list.peers {
+		list.seen[peer.Name] = now
+	}
+}
+
+func (list *List) tell(next []shard.Host) {
 	if list.Changed == nil {
 		return
 	}
@@ -78,7 +83,7 @@
 }
 
 // All returns the hosts on the list now.
-func (list *List) All() []Peer {
+func (list *List) All() []shard.Host {
 	list.mu.Lock()
 	defer list.mu.Unlock()
 	return list.peers
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -103,6 +103,13 @@
 	roster.publish(now)
 }
 
+// Confirm takes a reading that found the list unchanged.
+func (roster *Roster) Confirm() {
+	roster.mu.Lock()
+	defer roster.mu.Unlock()
+	roster.readAt = roster.Now()
+}
+
 // tell reports what differs between the known replicas and the next ones.
 func (roster *Roster) tell(next map[string]Replica) {
 	if roster.Changed == nil {
