replica: learn from single samples; start extra budgets full

Cause: on the grown Guild each of 66 hosts sees a replica less than once a second: a slow one kept its place, since a sample weighed an eighth, and no try was hedged, since a service's budget at one host earned its first token after five requests (hedges 0 in every line of the log). Change: a sample weighs more the older the last one is; budgets start with the host's part of the slack; peers may get no more than 24 shards.

--- a/dispatch/bundle.go
+++ b/dispatch/bundle.go
@@ -73,7 +73,10 @@
 	for place, part := range flight.parts {
 		part.bundle = nil
 		part.gathered = place < in
-		part.over = !part.gathered
+		if !part.gathered {
+			part.over = true
+			part.left = flight.bundle.Peer
+		}
 		part.joined = verdict.MayHaveRun
 	}
 	run.good += in
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -141,7 +141,7 @@
 		budget.Bound(burst)
 		return budget
 	}
-	made := &retry.Budget{Ratio: dispatcher.ExtraRatio * ratioShare, Burst: burst}
+	made := &retry.Budget{Ratio: dispatcher.ExtraRatio * ratioShare, Burst: burst, Full: true}
 	found, _ := dispatcher.services.LoadOrStore(service, made)
 	return found.(*retry.Budget)
 }
--- a/dispatch/result.go
+++ b/dispatch/result.go
@@ -133,6 +133,9 @@
 		if part.bundle != nil {
 			return part.service + ": no answer yet of host " + part.bundle.bundle.Peer
 		}
+		if part.left != "" {
+			return part.service + ": left out by host " + part.left
+		}
 		if part.failed != nil {
 			return part.service + ": " + part.failed.Failure.Error()
 		}
--- a/dispatch/run.go
+++ b/dispatch/run.go
@@ -46,6 +46,9 @@
 	bundle *bundleFlight
 	// gathered is set when a peer's answer covers the part.
 	gathered bool
+	// left names the peer that left the part out; which one is not known, only how
+	// many.
+	left string
 }
 
 func (part *part) ended() bool {
--- a/peer/delegator.go
+++ b/peer/delegator.go
@@ -22,6 +22,9 @@
 	// leastBundle is the least number of shards worth a message to a peer: the
 	// message costs about as many bytes as two shards' own.
 	leastBundle = 3
+	// mostGathered is the most shards that one host gathers: more take a small
+	// host's processor longer than another hop.
+	mostGathered = 24
 	// silenceTime past its target an answer is overdue from a peer that works:
 	// the peer answers with what it has at the target.
 	silenceTime = 150 * time.Millisecond
@@ -52,28 +55,52 @@
 
 // Plan returns the bundles that peers are to gather: for each shard without a
 // replica in this host's failure domain, a domain that has one, with as few
-// domains as a greedy choice gives.
+// domains as a greedy choice gives; and of the others those that are too many
+// for one host.
 func (delegator *Delegator) Plan(shards []string) []dispatch.Bundle {
 	far := delegator.far(shards)
-	if len(far) < leastBundle {
+	if len(far) < leastBundle && len(shards) <= mostGathered {
 		return nil
 	}
 	peers := delegator.usable()
-	var bundles []dispatch.Bundle
+	near := slices.DeleteFunc(slices.Clone(shards), func(shard string) bool { return far[shard] != nil })
+	bundles := delegator.spread(near, peers[delegator.Domain])
+	delete(peers, delegator.Domain)
 	for len(peers) > 0 {
 		domain, covered := widest(far, peers)
 		if len(covered) < leastBundle {
 			break
 		}
-		bundles = append(bundles, dispatch.Bundle{Peer: delegator.pick(peers[domain]), Shards: covered})
 		for _, shard := range covered {
 			delete(far, shard)
 		}
+		for group := range slices.Chunk(covered, mostGathered) {
+			bundles = append(bundles, delegator.bundle(peers[domain], group))
+		}
 		delete(peers, domain)
 	}
 	return bundles
 }
 
+// spread returns bundles of what is too much of the near shards for this host.
+func (delegator *Delegator) spread(near []string, peers []string) []dispatch.Bundle {
+	if len(near) <= mostGathered || len(peers) == 0 {
+		return nil
+	}
+	groups := min((len(near)+mostGathered-1)/mostGathered, len(peers)+1)
+	size := (len(near) + groups - 1) / groups
+	var bundles []dispatch.Bundle
+	for group := range slices.Chunk(near[size:], size) {
+		bundles = append(bundles, delegator.bundle(peers, group))
+	}
+	return bundles
+}
+
+// bundle gives shards to one of several peers and counts them as its own.
+func (delegator *Delegator) bundle(names, shards []string) dispatch.Bundle {
+	return dispatch.Bundle{Peer: names[delegator.Picker.Pick(names)], Shards: shards}
+}
+
 // far returns the shards without a replica in this host's failure domain, with
 // the domains that have one.
 func (delegator *Delegator) far(shards []string) map[string][]string {
@@ -99,7 +126,7 @@
 func (delegator *Delegator) usable() map[string][]string {
 	usable := make(map[string][]string)
 	for _, peer := range delegator.Peers() {
-		if peer.FailureDomain != delegator.Domain && !delegator.Picker.Status(peer.Name).Ejected {
+		if peer.Name != delegator.Name && !delegator.Picker.Status(peer.Name).Ejected {
 			usable[peer.FailureDomain] = append(usable[peer.FailureDomain], peer.Name)
 		}
 	}
@@ -126,11 +153,6 @@
 	return best, covered
 }
 
-// pick chooses one of several peers and counts the bundle as its own.
-func (delegator *Delegator) pick(names []string) string {
-	return names[delegator.Picker.Pick(names)]
-}
-
 // Ask lets a peer gather a bundle.
 func (delegator *Delegator) Ask(ctx context.Context, request *dispatch.Request, bundle dispatch.Bundle) *dispatch.Gathered {
 	started := time.Now()
--- a/replica/picker.go
+++ b/replica/picker.go
@@ -3,6 +3,7 @@
 package replica
 
 import (
+	"math"
 	"math/rand/v2"
 	"time"
 )
@@ -15,8 +16,11 @@
 	ejectMost  = 10 * time.Second
 	// rampTime is how long a returning replica takes to get its whole share.
 	rampTime = 5 * time.Second
-	// decay is the weight of history for each new sample.
-	decay = 7.0 / 8
+	// sampleWeight is the least weight of a new sample, and learnTime the time
+	// after which history weighs 1/e: a host that sees a replica once a second has
+	// to learn from one sample.
+	sampleWeight = 1.0 / 8
+	learnTime    = time.Second
 	// failurePenalty is the time that a failed try counts as.
 	failurePenalty = 500 * time.Millisecond
 	// forgetTime halves a measured time that has not been renewed.
@@ -204,7 +208,8 @@
 	if expected <= time.Microsecond {
 		expected = took
 	}
-	known.average = time.Duration(decay*float64(expected) + (1-decay)*float64(took))
+	weight := max(sampleWeight, 1-math.Exp(-float64(now.Sub(known.measured))/float64(learnTime)))
+	known.average = time.Duration((1-weight)*float64(expected) + weight*float64(took))
 	known.measured = now
 }
 
--- a/retry/retry.go
+++ b/retry/retry.go
@@ -16,6 +16,8 @@
 	Ratio float64
 	// Burst bounds what is saved up, in sub-requests.
 	Burst float64
+	// Full starts the budget with all that may be saved up.
+	Full bool
 
 	mu     sync.Mutex
 	tokens float64
@@ -32,11 +34,19 @@
 	budget.tokens = min(burst, budget.tokens)
 }
 
+func (budget *Budget) start() {
+	if budget.Full {
+		budget.Full = false
+		budget.tokens = budget.Burst
+	}
+}
+
 // First records a number of first sub-requests.
 func (budget *Budget) First(count int) {
 	budget.mu.Lock()
 	defer budget.mu.Unlock()
 	budget.first += uint64(count)
+	budget.start()
 	budget.tokens = min(budget.Burst, budget.tokens+budget.Ratio*float64(count))
 }
 
