dispatch: give hops 10 ms and answers 14 ms of their target

Cause: at the grown sites half of the urgent answers came just after their target: peers cut at 2 ms before the asking host, whose small processor then had their answers still to read.

--- a/dispatch/run.go
+++ b/dispatch/run.go
@@ -12,9 +12,10 @@
 const (
 	// answerMargin is kept of a target for the ways between the caller and this
 	// host, a new connection included.
-	answerMargin = 12 * time.Millisecond
-	// hopMargin is kept besides for the way through another host.
-	hopMargin = 2 * time.Millisecond
+	answerMargin = 14 * time.Millisecond
+	// hopMargin is kept besides for the way through another host, and for the
+	// small ones that have several answers to merge at once.
+	hopMargin = 10 * time.Millisecond
 	// cutSlack is how late a timer may be.
 	cutSlack = 5 * time.Millisecond
 	// deadlineMargin is kept of a deadline for the way back.
