platform: reload settings, answer early refusals, keep a reader fed

- A long request is sent while its answer is read, since replicas may refuse it before it is in; that connection is not used again.
- A host that reads the store and is turned away asks the others of its domain.
- The age of what a host was told was kept in wall time, which may jump.
- A try that waited for a connection checks that its replica still takes work.
- Connections to a replica are its limit shared by the hosts known.
- Counters and latency histograms by route on the metrics address.

--- a/command/front.go
+++ b/command/front.go
@@ -2,6 +2,8 @@
 
 import (
 	"os"
+	"os/signal"
+	"syscall"
 
 	"fescuehall/logbook"
 	"fescuehall/platform"
@@ -33,6 +35,10 @@
 	}
 	ctx, cancel := interrupted()
 	defer cancel()
-	host := &platform.Host{Settings: settings, Logbook: log, MetricsAddress: front.Metrics}
+	reload := make(chan os.Signal, 1)
+	signal.Notify(reload, syscall.SIGHUP)
+	// A log that nobody reads any more must not end the process.
+	signal.Ignore(syscall.SIGPIPE)
+	host := &platform.Host{Settings: settings, Logbook: log, SettingsPath: path, Reload: reload, MetricsAddress: front.Metrics}
 	return host.Run(ctx)
 }
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -7,10 +7,12 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"fescuehall/exchange"
 	"fescuehall/logbook"
+	"fescuehall/metric"
 	"fescuehall/rank"
 	"fescuehall/replica"
 	"fescuehall/retry"
@@ -106,18 +108,30 @@
 	Picker *replica.Picker
 	// Random returns a number in [0, 1).
 	Random func() float64
-	// ExtraRatio and ExtraSlack are the extra requests a service may get from
-	// all hosts: a share of its requests, and a number.
-	ExtraRatio float64
-	ExtraSlack float64
 	// Event is told of each decision.
 	Event func(event string, fields logbook.Fields)
+	// Observe counts each request; it may be nil.
+	Observe func(request metric.Request)
 
+	extra     atomic.Pointer[extra]
 	services  sync.Map
 	routes    sync.Map
 	throttles sync.Map
 }
 
+// extra is the extra requests a service may get from all hosts: a share of its
+// requests, and a number.
+type extra struct {
+	ratio float64
+	slack float64
+}
+
+// SetExtra bounds the extra requests that a service may get from all hosts by a
+// share of its requests and a number. It may be called again.
+func (dispatcher *Dispatcher) SetExtra(ratio, slack float64) {
+	dispatcher.extra.Store(&extra{ratio: ratio, slack: slack})
+}
+
 const (
 	// slackShare of the slack is spent: the rest covers processes that start
 	// again and hosts that are not known yet.
@@ -135,13 +149,15 @@
 
 // budget returns the budget of extra requests of a service.
 func (dispatcher *Dispatcher) budget(service string) *retry.Budget {
-	burst := dispatcher.ExtraSlack * slackShare / float64(max(1, dispatcher.Hosts()))
+	allowed := dispatcher.extra.Load()
+	ratio := allowed.ratio * ratioShare
+	burst := allowed.slack * slackShare / float64(max(1, dispatcher.Hosts()))
 	if found, ok := dispatcher.services.Load(service); ok {
 		budget := found.(*retry.Budget)
-		budget.Bound(burst)
+		budget.Bound(ratio, burst)
 		return budget
 	}
-	made := &retry.Budget{Ratio: dispatcher.ExtraRatio * ratioShare, Burst: burst, Full: true}
+	made := &retry.Budget{Ratio: ratio, Burst: burst, Full: true}
 	found, _ := dispatcher.services.LoadOrStore(service, made)
 	return found.(*retry.Budget)
 }
--- a/dispatch/result.go
+++ b/dispatch/result.go
@@ -5,6 +5,7 @@
 
 	"fescuehall/answer"
 	"fescuehall/logbook"
+	"fescuehall/metric"
 	"fescuehall/verdict"
 )
 
@@ -20,6 +21,7 @@
 func (run *run) refuse(refusal float64) *Answer {
 	run.cancel()
 	refused := &Answer{Failure: verdict.New(verdict.NotRun, verdict.Overload, "too few requests are answered in time"), RetryAfter: refusedRetryAfter}
+	run.observe("refused", time.Now())
 	run.dispatcher.Event("refused", logbook.Fields{"id": run.request.ID, "route": run.request.Route.Name, "rank": run.request.Route.Rank, "version": run.request.Version, "chance": refusal})
 	return refused
 }
@@ -112,6 +114,9 @@
 		fields["missing"] = missing
 	}
 	outcome := "answered"
+	if run.request.Hop {
+		outcome = "answered a peer"
+	}
 	if answer.Failure != nil {
 		outcome = "failed"
 		fields["verdict"] = answer.Failure.Verdict.String()
@@ -121,9 +126,25 @@
 	if gone {
 		outcome = "caller left"
 	}
+	run.observe(outcome, now)
 	run.dispatcher.Event(outcome, fields)
 }
 
+func (run *run) observe(outcome string, now time.Time) {
+	if run.dispatcher.Observe == nil {
+		return
+	}
+	run.dispatcher.Observe(metric.Request{
+		Route:   run.request.Route.Name,
+		Rank:    run.request.Route.Rank,
+		Outcome: outcome,
+		LeftOut: len(run.parts) - run.good,
+		Hedges:  run.hedges,
+		Retries: run.retries,
+		Took:    now.Sub(run.request.Received),
+	})
+}
+
 // missing names the first shard that is not in, and why.
 func (run *run) missing() string {
 	for _, part := range run.parts {
--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -27,6 +27,9 @@
 	maxAnswerBytes = 8 << 20
 	// maxSkipped bounds the answers to earlier requests that one call reads over.
 	maxSkipped = 4
+	// atOnce is the size up to which a request is sent before its answer is
+	// looked for: less than the smallest send buffer in use.
+	atOnce = 8 << 10
 	// readBuffer holds an answer of usual size in one read.
 	readBuffer = 2 << 10
 )
@@ -50,10 +53,10 @@
 
 // Do sends a request to an address and returns the whole answer that belongs
 // to it. The request is made once a connection is free, so that it can tell the
-// time that is left then. Errors are *verdict.Failure. The call ends when ctx
-// does.
-func (pool *Pool) Do(ctx context.Context, address string, made func() (*Request, error)) (*Answer, error) {
-	conn, err := pool.take(ctx, address)
+// time that is left then. This host has at most the given number of connections
+// to the address. Errors are *verdict.Failure. The call ends when ctx does.
+func (pool *Pool) Do(ctx context.Context, address string, most int, made func() (*Request, error)) (*Answer, error) {
+	conn, err := pool.take(ctx, address, most)
 	if err != nil {
 		return nil, err
 	}
@@ -83,14 +86,54 @@
 // exchange sends a request and reads its answer. It reports whether the
 // connection can be used again.
 func (pool *Pool) exchange(conn *conn, request *Request) (*Answer, bool, error) {
-	written, err := conn.Write(request.encode())
-	if err != nil {
-		certainty := verdict.MayHaveRun
-		if written == 0 {
-			certainty = verdict.NotRun
+	content := request.encode()
+	if len(content) <= atOnce {
+		if written, err := conn.Write(content); err != nil {
+			return nil, false, unsent(conn, written, err)
 		}
-		return nil, false, verdict.New(certainty, verdict.ConnectionLost, "send to %s: %v", conn.address, err)
+		return pool.read(conn, request)
+	}
+	return pool.overlap(conn, request, content)
+}
+
+func unsent(conn *conn, written int, err error) error {
+	certainty := verdict.MayHaveRun
+	if written == 0 {
+		certainty = verdict.NotRun
 	}
+	return verdict.New(certainty, verdict.ConnectionLost, "send to %s: %v", conn.address, err)
+}
+
+// overlap reads while it sends, since a backend server may refuse a long
+// request before it has read all of it. The connection can't be used again
+// then: what is left of the body would be taken for the next request.
+func (pool *Pool) overlap(conn *conn, request *Request, content []byte) (*Answer, bool, error) {
+	type sent struct {
+		written int
+		err     error
+	}
+	done := make(chan sent, 1)
+	go func() {
+		written, err := conn.Write(content)
+		done <- sent{written, err}
+	}()
+	answer, keep, err := pool.read(conn, request)
+	select {
+	case sent := <-done:
+		if err != nil && sent.err != nil {
+			return nil, false, unsent(conn, sent.written, sent.err)
+		}
+		return answer, keep && sent.err == nil, err
+	default:
+	}
+	// Closing ends the write. What was not sent by now must not be.
+	conn.Close()
+	<-done
+	return answer, false, err
+}
+
+// read reads the answer to a request, past answers to earlier ones.
+func (pool *Pool) read(conn *conn, request *Request) (*Answer, bool, error) {
 	for range maxSkipped {
 		answer, keep, err := conn.read(request.Method)
 		if err != nil {
--- a/exchange/pool.go
+++ b/exchange/pool.go
@@ -28,8 +28,6 @@
 	// Belongs reports whether an answer is the one to the request; nil takes
 	// every answer.
 	Belongs func(request *Request, answer *Answer) bool
-	// Most returns the connections this host may have to an address.
-	Most func(address string) int
 	// Dialed is told of each new connection; it may be nil.
 	Dialed func(address string, err error)
 
@@ -41,19 +39,21 @@
 type peer struct {
 	idle    []*conn
 	open    int
+	most    int
 	waiters []chan *conn
 }
 
 // take returns an idle connection or opens one. When the address has as many
 // as it may, it waits for one.
-func (pool *Pool) take(ctx context.Context, address string) (*conn, error) {
+func (pool *Pool) take(ctx context.Context, address string, most int) (*conn, error) {
 	pool.mu.Lock()
 	peer := pool.peer(address)
+	peer.most = most
 	if conn := peer.usable(time.Now()); conn != nil {
 		pool.mu.Unlock()
 		return conn, nil
 	}
-	if peer.open < pool.Most(address) {
+	if peer.open < most {
 		peer.open++
 		pool.mu.Unlock()
 		return pool.open(ctx, address)
@@ -196,6 +196,11 @@
 		waiter <- conn
 		return
 	}
+	if peer.open > peer.most {
+		conn.Close()
+		peer.open--
+		return
+	}
 	peer.idle = append(peer.idle, conn)
 }
 
--- a/feed/feed.go
+++ b/feed/feed.go
@@ -74,6 +74,14 @@
 	}
 }
 
+// Fresh reports whether this host read its lists a short while ago.
+func (feed *Feed) Fresh() bool {
+	feed.mu.Lock()
+	defer feed.mu.Unlock()
+	age := feed.age()
+	return age != noLists && age <= mostAge.Microseconds()
+}
+
 // noLists is the age of lists that were never read.
 const noLists = -1
 
--- a/feed/follower.go
+++ b/feed/follower.go
@@ -17,7 +17,7 @@
 	readers = 1
 	// askedHosts is how many hosts are asked in turn, the reader first. The next
 	// is the reader as soon as the first is off the list.
-	askedHosts = 2
+	askedHosts = 3
 	// mostAge of lists is taken from another host. With the pauses of reading and
 	// asking it stays under the platform's shortest bound for leaving replicas.
 	mostAge = 1500 * time.Millisecond
@@ -45,12 +45,14 @@
 	TakeConfig   func(config []byte) error
 	TakeReplicas func(replicas []roster.Replica)
 	TakeHosts    func(hosts []shard.Host)
+	// Fresh reports whether what this host read itself is recent.
+	Fresh func() bool
 	// Confirm is told that the lists have not changed.
 	Confirm func()
 
 	source   string
 	sequence uint64
-	fedAt    atomic.Int64
+	fedAt    atomic.Pointer[time.Time]
 }
 
 // Reads reports whether this host has to read the store: it is a reader, or
@@ -59,7 +61,8 @@
 	if order := follower.order(); len(order) == 0 || order[0].Name == follower.Name {
 		return true
 	}
-	return follower.Now().Sub(time.Unix(0, follower.fedAt.Load())) > fedTime
+	fedAt := follower.fedAt.Load()
+	return fedAt == nil || follower.Now().Sub(*fedAt) > fedTime
 }
 
 // order returns the hosts to ask, the reader first.
@@ -67,15 +70,21 @@
 	return shard.New(follower.Hosts()).Chosen(readerDuty, follower.Domain, max(readers, askedHosts))
 }
 
-// Step asks once, unless this host is a reader.
+// Step asks once. A reader asks only when the store does not answer it, which
+// may turn some hosts away and serve others.
 func (follower *Follower) Step(ctx context.Context) error {
+	order := follower.order()
+	if len(order) == 0 || order[0].Name == follower.Name && follower.Fresh() {
+		return nil
+	}
 	var failed error
-	for _, host := range follower.order() {
+	for _, host := range order {
 		if host.Name == follower.Name {
-			return nil
+			continue
 		}
 		if failed = follower.ask(ctx, host); failed == nil {
-			follower.fedAt.Store(follower.Now().UnixNano())
+			now := follower.Now()
+			follower.fedAt.Store(&now)
 			return nil
 		}
 	}
--- /dev/null
+++ b/metric/latency.go
@@ -0,0 +1,59 @@
+package metric
+
+import (
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
+
+const (
+	maxLatencyMicros = 60_000_000
+	latencyDigits    = 2
+)
+
+// Latencies are histograms by name.
+type Latencies struct {
+	mu         sync.Mutex
+	histograms map[string]*hdrhistogram.Histogram
+}
+
+// Observe records one time.
+func (latencies *Latencies) Observe(name string, took time.Duration) {
+	latencies.mu.Lock()
+	defer latencies.mu.Unlock()
+	if latencies.histograms == nil {
+		latencies.histograms = make(map[string]*hdrhistogram.Histogram)
+	}
+	histogram := latencies.histograms[name]
+	if histogram == nil {
+		histogram = hdrhistogram.New(1, maxLatencyMicros, latencyDigits)
+		latencies.histograms[name] = histogram
+	}
+	// Out of range is impossible after the bound.
+	_ = histogram.RecordValue(min(maxLatencyMicros, max(1, took.Microseconds())))
+}
+
+// Quantiles are latencies in milliseconds.
+type Quantiles struct {
+	Count int64
+	P50   float64
+	P99   float64
+	P999  float64
+}
+
+// Quantiles returns a map of Quantiles by name, for expvar.Func.
+func (latencies *Latencies) Quantiles() any {
+	latencies.mu.Lock()
+	defer latencies.mu.Unlock()
+	shown := make(map[string]Quantiles, len(latencies.histograms))
+	for name, histogram := range latencies.histograms {
+		shown[name] = Quantiles{
+			Count: histogram.TotalCount(),
+			P50:   float64(histogram.ValueAtQuantile(50)) / 1000,
+			P99:   float64(histogram.ValueAtQuantile(99)) / 1000,
+			P999:  float64(histogram.ValueAtQuantile(99.9)) / 1000,
+		}
+	}
+	return shown
+}
--- a/retry/retry.go
+++ b/retry/retry.go
@@ -26,10 +26,11 @@
 	denied uint64
 }
 
-// Bound changes what may be saved up, in sub-requests.
-func (budget *Budget) Bound(burst float64) {
+// Bound changes the ratio, and what may be saved up in sub-requests.
+func (budget *Budget) Bound(ratio, burst float64) {
 	budget.mu.Lock()
 	defer budget.mu.Unlock()
+	budget.Ratio = ratio
 	budget.Burst = burst
 	budget.tokens = min(burst, budget.tokens)
 }
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -63,6 +63,11 @@
 	return nil
 }
 
+// Takes reports whether a replica takes work.
+func (roster *Roster) Takes(service, id string) bool {
+	return slices.ContainsFunc(roster.Of(service), func(replica Replica) bool { return replica.ID == id })
+}
+
 // Domain returns the failure domain of a replica.
 func (roster *Roster) Domain(id string) string {
 	if domain, ok := roster.domains.Load(id); ok {
