--- /dev/null
+++ b/dispatch/budget_test.go
@@ -0,0 +1,142 @@
+package dispatch_test
+
+import (
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"fescuehall/dispatch"
+	"fescuehall/verdict"
+)
+
+const (
+	extraRatio = 0.2
+	extraSlack = 56.0
+	// windowSteps of stepTime make the platform's window of 10 s.
+	windowSteps = 100
+	stepTime    = 100 * time.Millisecond
+)
+
+// Whatever hosts start again and however replicas fail, the tries of a service
+// beyond its requests stay in any window, over all hosts, within the requests
+// times the ratio and the slack.
+func TestExtraTriesStayWithinTheBudgetOfAllHosts(t *testing.T) {
+	tests := []struct {
+		name     string
+		hosts    int
+		perStep  int
+		shed     float64
+		slow     float64
+		restarts bool
+	}{
+		{name: "all slow", hosts: 8, perStep: 1, slow: 1},
+		{name: "all shed", hosts: 8, perStep: 1, shed: 1},
+		{name: "half slow and half shed", hosts: 6, perStep: 2, shed: 0.5, slow: 0.5},
+		{name: "one host", hosts: 1, perStep: 8, shed: 0.9},
+		{name: "hosts start again", hosts: 8, perStep: 1, shed: 1, restarts: true},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				counter := &counter{random: rand.New(rand.NewPCG(1, 2))}
+				start := func() *dispatch.Dispatcher {
+					made := newDispatcher(&fleet{rule: func(string, int) (time.Duration, *verdict.Failure) {
+						counter.tries.Add()
+						took := 5 * time.Millisecond
+						if counter.draw() < test.slow {
+							took = 300 * time.Millisecond
+						}
+						if counter.draw() < test.shed {
+							return took, failure(verdict.NotRun, verdict.Shed)
+						}
+						return took, nil
+					}})
+					// Nothing is refused, so that each request has a first try.
+					made.Random = func() float64 { return 1 }
+					made.Hosts = func() int { return test.hosts }
+					made.SetExtra(extraRatio, extraSlack)
+					return made
+				}
+				running := make([]*dispatch.Dispatcher, test.hosts)
+				for place := range running {
+					running[place] = start()
+				}
+				for step := range 3 * windowSteps {
+					if test.restarts && step%windowSteps == 50 {
+						running[step/windowSteps] = start()
+					}
+					for _, dispatcher := range running {
+						for range test.perStep {
+							counter.requests.Add()
+							go dispatcher.Serve(t.Context(), ask(plain(true)))
+						}
+					}
+					time.Sleep(stepTime)
+					counter.next()
+				}
+				time.Sleep(5 * time.Second)
+				counter.next()
+				counter.check(t)
+			})
+		})
+	}
+}
+
+// series counts events by step.
+type series struct {
+	mu    sync.Mutex
+	steps []int
+	open  int
+}
+
+// Add counts one event.
+func (series *series) Add() {
+	series.mu.Lock()
+	defer series.mu.Unlock()
+	series.open++
+}
+
+func (series *series) next() {
+	series.mu.Lock()
+	defer series.mu.Unlock()
+	series.steps = append(series.steps, series.open)
+	series.open = 0
+}
+
+// counter counts requests and tries over all hosts.
+type counter struct {
+	mu       sync.Mutex
+	random   *rand.Rand
+	requests series
+	tries    series
+}
+
+func (counter *counter) draw() float64 {
+	counter.mu.Lock()
+	defer counter.mu.Unlock()
+	return counter.random.Float64()
+}
+
+func (counter *counter) next() {
+	counter.requests.next()
+	counter.tries.next()
+}
+
+// check slides the window over all steps.
+func (counter *counter) check(t *testing.T) {
+	extra := 0
+	for begin := range counter.tries.steps {
+		requests, tries := 0, 0
+		for step := begin; step < min(begin+windowSteps, len(counter.tries.steps)); step++ {
+			requests += counter.requests.steps[step]
+			tries += counter.tries.steps[step]
+		}
+		extra = max(extra, tries-requests)
+		qt.Assert(t, float64(tries-requests) <= extraRatio*float64(requests)+extraSlack, qt.IsTrue, qt.Commentf("%d tries for %d requests from step %d", tries, requests, begin))
+	}
+	qt.Assert(t, extra > 0, qt.IsTrue, qt.Commentf("no extra try was sent"))
+}
--- a/replica/picker.go
+++ b/replica/picker.go
@@ -83,10 +83,11 @@
 		picker.Start(addresses[chosen])
 		return chosen
 	}
-	chosen := picker.better(addresses, open)
+	choose := picker.better
 	if picker.Distance != nil {
-		chosen = picker.best(addresses, open)
+		choose = picker.best
 	}
+	chosen := choose(addresses, open)
 	picker.Start(addresses[chosen])
 	return chosen
 }
