feed: let the next host read first when the reader is lost

Change: the next host in order reads after 1 s without news, the others after 1.8 s, when the next has read.

--- a/feed/follower.go
+++ b/feed/follower.go
@@ -21,8 +21,10 @@
 	// mostAge of lists is taken from another host. With the pauses of reading and
 	// asking it stays under the platform's shortest bound for leaving replicas.
 	mostAge = 1500 * time.Millisecond
-	// fedTime is how long a host relies on what it was told.
-	fedTime = time.Second
+	// fedTime is how long a host relies on what it was told. The one that is next
+	// to read waits less, so that the others find it reading.
+	fedTime     = 1800 * time.Millisecond
+	nextFedTime = time.Second
 	// askTimeout bounds one question.
 	askTimeout = 250 * time.Millisecond
 	readerDuty = "ReadStore"
@@ -58,16 +60,25 @@
 // Reads reports whether this host has to read the store: it is a reader, or
 // none tells it what it read.
 func (follower *Follower) Reads() bool {
-	if order := follower.order(); len(order) == 0 || order[0].Name == follower.Name {
-		return true
+	relied := fedTime
+	for place, host := range follower.order() {
+		if host.Name != follower.Name {
+			continue
+		}
+		if place < readers {
+			return true
+		}
+		if place == readers {
+			relied = nextFedTime
+		}
 	}
 	fedAt := follower.fedAt.Load()
-	return fedAt == nil || follower.Now().Sub(*fedAt) > fedTime
+	return fedAt == nil || follower.Now().Sub(*fedAt) > relied
 }
 
 // order returns the hosts to ask, the reader first.
 func (follower *Follower) order() []shard.Host {
-	return shard.New(follower.Hosts()).Chosen(readerDuty, follower.Domain, max(readers, askedHosts))
+	return shard.New(follower.Hosts()).Chosen(readerDuty, follower.Domain, askedHosts)
 }
 
 // Step asks once. A reader asks only when the store does not answer it, which
