--- a/Makefile
+++ b/Makefile
@@ -9,7 +9,7 @@
 	$(GO) build -o bin/standin ./cmd/standin
 
 test:
-	$(GO) test -count=1 ./...
+	$(GO) test -race -count=1 ./...
 
 # Formatter, vet, linters and generated code.
 check: format vet lint generated
--- a/exchange/exchange_test.go
+++ b/exchange/exchange_test.go
@@ -120,7 +120,7 @@
 func TestConnectionsAreKept(t *testing.T) {
 	var opened atomic.Int32
 	closed := make(chan bool, 1)
-	address := server(t, func(number int, conn net.Conn, reader *bufio.Reader) {
+	address := server(t, func(_ int, conn net.Conn, reader *bufio.Reader) {
 		opened.Add(1)
 		for range 2 {
 			request, err := http.ReadRequest(reader)
