rank: count a request once it has ended or its target has passed

TestRunningRequestsAreNotLate failed before. Change: only ended and refused requests count, and a running one as late from its target on.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -197,6 +197,21 @@
 	return route.Timeout / unknownShare
 }
 
+// judge tells the throttle whether a request is in time: when it is answered, or
+// as soon as its target has passed, since a late one may go on for long.
+func (dispatcher *Dispatcher) judge(throttle *rank.Throttle, run *run) (answered func()) {
+	found := run.request.Route
+	if found.Target == 0 {
+		return func() { throttle.Done(found.Rank, run.inTime) }
+	}
+	late := time.AfterFunc(time.Until(run.request.Received.Add(found.Target)), func() { throttle.Done(found.Rank, false) })
+	return func() {
+		if late.Stop() {
+			throttle.Done(found.Rank, run.inTime)
+		}
+	}
+}
+
 // Serve answers one request. It always returns an answer, unless the caller
 // has left, which ends ctx.
 func (dispatcher *Dispatcher) Serve(ctx context.Context, request *Request) *Answer {
@@ -207,7 +222,7 @@
 		if admitted, refusal := throttle.Admit(request.Route.Rank); !admitted {
 			return run.refuse(refusal)
 		}
-		defer func() { throttle.Done(request.Route.Rank, run.inTime) }()
+		defer dispatcher.judge(throttle, run)()
 	}
 	if request.Route.Gathers() && !request.Hop && dispatcher.Plan != nil {
 		run.startBundles()
--- a/rank/throttle.go
+++ b/rank/throttle.go
@@ -34,12 +34,13 @@
 	urgentSamples = 3
 )
 
-// record is what was seen of one rank, in decaying numbers.
+// record is what was seen of one rank, in decaying numbers. Requests that still
+// run count for nothing.
 type record struct {
-	asked    float64
-	admitted float64
-	inTime   float64
-	at       time.Time
+	refused float64
+	ended   float64
+	inTime  float64
+	at      time.Time
 }
 
 func (throttle *Throttle) record(rank int) *record {
@@ -57,8 +58,8 @@
 
 func (record *record) decay(now time.Time) {
 	factor := math.Exp2(-float64(now.Sub(record.at)) / float64(throttleHalf))
-	record.asked *= factor
-	record.admitted *= factor
+	record.refused *= factor
+	record.ended *= factor
 	record.inTime *= factor
 	record.at = now
 }
@@ -69,12 +70,12 @@
 	defer throttle.mu.Unlock()
 	own := throttle.record(rank)
 	served := own.inTime * throttleFactor * throttle.urgent(rank)
-	refusal = max(0, (own.asked-served-throttleFree)/(own.asked+1))
-	own.asked++
+	asked := own.ended + own.refused
+	refusal = max(0, (asked-served-throttleFree)/(asked+1))
 	if throttle.Random() < refusal {
+		own.refused++
 		return false, refusal
 	}
-	own.admitted++
 	return true, refusal
 }
 
@@ -87,8 +88,8 @@
 			continue
 		}
 		seen := throttle.record(other)
-		if seen.admitted >= urgentSamples {
-			least = min(least, throttleFactor*seen.inTime/seen.admitted)
+		if seen.ended >= urgentSamples {
+			least = min(least, throttleFactor*seen.inTime/seen.ended)
 		}
 	}
 	return least
@@ -96,10 +97,11 @@
 
 // Done records whether an admitted request was answered in time.
 func (throttle *Throttle) Done(rank int, inTime bool) {
-	if !inTime {
-		return
-	}
 	throttle.mu.Lock()
 	defer throttle.mu.Unlock()
-	throttle.record(rank).inTime++
+	own := throttle.record(rank)
+	own.ended++
+	if inTime {
+		own.inTime++
+	}
 }
--- a/rank/throttle_test.go
+++ b/rank/throttle_test.go
@@ -72,3 +72,13 @@
 	qt.Assert(t, bad[1] < 0.5, qt.IsTrue, qt.Commentf("%v", bad))
 	qt.Assert(t, good, qt.DeepEquals, [2]float64{1, 1})
 }
+
+// Requests that still run are not late: slow work is not refused because much
+// of it runs at the same time.
+func TestRunningRequestsAreNotLate(t *testing.T) {
+	throttle, _ := newThrottle()
+	for range 100 {
+		admitted, _ := throttle.Admit(1)
+		qt.Assert(t, admitted, qt.IsTrue)
+	}
+}
