feed: let the largest host of a domain read; forget what is gone

The log shows a reader of 0.192 cores whose lists were 2.4 to 3.1 s old: reading and decoding 700 entries took it 2 s, and its followers then read for themselves as slowly. Connections and samples of replicas that are gone are dropped.

--- a/exchange/exchange_test.go
+++ b/exchange/exchange_test.go
@@ -144,6 +144,29 @@
 	qt.Assert(t, opened.Load(), qt.Equals, int32(2))
 }
 
+// An address that is forgotten keeps no idle connection.
+func TestForget(t *testing.T) {
+	ended := make(chan bool, 1)
+	address := server(t, func(_ int, conn net.Conn, reader *bufio.Reader) {
+		for {
+			request, err := http.ReadRequest(reader)
+			if err != nil {
+				ended <- true
+				return
+			}
+			io.WriteString(conn, whole(request.Header.Get("Id"), "x"))
+		}
+	})
+	pool := pool()
+	_, err := do(pool, address, "1")
+	qt.Assert(t, err, qt.IsNil)
+	pool.Forget(address)
+	<-ended
+	pool.Forget("127.0.0.1:1")
+	_, err = do(pool, address, "2")
+	qt.Assert(t, err, qt.IsNil)
+}
+
 func TestUnreachableIsNotRun(t *testing.T) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	qt.Assert(t, err, qt.IsNil)
--- a/exchange/pool.go
+++ b/exchange/pool.go
@@ -209,21 +209,20 @@
 	pool.release(conn.address)
 }
 
-// Close closes the idle connections to addresses that are not to be kept.
-func (pool *Pool) Close(keep func(address string) bool) {
+// Forget closes the idle connections to an address that is no longer in use.
+func (pool *Pool) Forget(address string) {
 	pool.mu.Lock()
 	defer pool.mu.Unlock()
-	for address, peer := range pool.peers {
-		if keep(address) {
-			continue
-		}
-		for _, conn := range peer.idle {
-			conn.Close()
-			peer.open--
-		}
-		peer.idle = nil
-		if peer.open == 0 && len(peer.waiters) == 0 {
-			delete(pool.peers, address)
-		}
+	peer := pool.peers[address]
+	if peer == nil {
+		return
+	}
+	for _, conn := range peer.idle {
+		conn.Close()
+		peer.open--
+	}
+	peer.idle = nil
+	if peer.open == 0 && len(peer.waiters) == 0 {
+		delete(pool.peers, address)
 	}
 }
--- a/feed/feed.go
+++ b/feed/feed.go
@@ -103,7 +103,7 @@
 	}
 	news.Hosts = make([]message.ListedHost, len(feed.lists.Hosts))
 	for place, host := range feed.lists.Hosts {
-		news.Hosts[place] = message.ListedHost{Name: host.Name, Address: host.Address, FailureDomain: host.FailureDomain}
+		news.Hosts[place] = message.ListedHost{Name: host.Name, Address: host.Address, FailureDomain: host.FailureDomain, Cores: host.Cores}
 	}
 	return news
 }
--- a/feed/feed_test.go
+++ b/feed/feed_test.go
@@ -164,3 +164,25 @@
 	qt.Assert(t, taken.replicas, qt.HasLen, 1)
 	qt.Assert(t, follower.Reads(), qt.IsTrue)
 }
+
+// The largest host of a domain reads, whatever hashing says, and the smaller
+// ones follow in order.
+func TestLargestHostReads(t *testing.T) {
+	group := newGroup()
+	reader, next, last := group.roles()
+	sized := make([]shard.Host, 0, len(hosts)+1)
+	for _, host := range hosts {
+		if host.Name == last {
+			host.Cores = 0.8
+		}
+		sized = append(sized, host)
+	}
+	sized = append(sized, shard.Host{Name: "elsewhere", FailureDomain: "e", Cores: 4})
+	for name, reads := range map[string]bool{last: true, reader: false, next: false} {
+		follower, _ := group.follower(name)
+		follower.Hosts = func() []shard.Host { return sized }
+		group.read(last)
+		qt.Assert(t, follower.Step(context.Background()), qt.IsNil)
+		qt.Assert(t, follower.Reads(), qt.Equals, reads, qt.Commentf("%s", name))
+	}
+}
--- a/feed/follower.go
+++ b/feed/follower.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -76,9 +77,32 @@
 	return fedAt == nil || follower.Now().Sub(*fedAt) > relied
 }
 
-// order returns the hosts to ask, the reader first.
+// order returns the hosts to ask, the reader first. Larger hosts come before
+// smaller ones: reading takes a small one longer than the lists may age.
 func (follower *Follower) order() []shard.Host {
-	return shard.New(follower.Hosts()).Chosen(readerDuty, follower.Domain, askedHosts)
+	hosts := follower.Hosts()
+	most := 0.0
+	for _, host := range hosts {
+		if host.FailureDomain == follower.Domain {
+			most = max(most, host.Cores)
+		}
+	}
+	large := make([]shard.Host, 0, len(hosts))
+	for _, host := range hosts {
+		if host.Cores >= most {
+			large = append(large, host)
+		}
+	}
+	order := shard.New(large).Chosen(readerDuty, follower.Domain, askedHosts)
+	if len(order) == askedHosts {
+		return order
+	}
+	for _, host := range shard.New(hosts).Chosen(readerDuty, follower.Domain, askedHosts) {
+		if len(order) < askedHosts && !slices.Contains(order, host) {
+			order = append(order, host)
+		}
+	}
+	return order
 }
 
 // Step asks once. A reader asks only when the store does not answer it, which
@@ -132,7 +156,7 @@
 	}
 	hosts := make([]shard.Host, len(news.Hosts))
 	for place, listed := range news.Hosts {
-		hosts[place] = shard.Host{Name: listed.Name, Address: listed.Address, FailureDomain: listed.FailureDomain}
+		hosts[place] = shard.Host{Name: listed.Name, Address: listed.Address, FailureDomain: listed.FailureDomain, Cores: listed.Cores}
 	}
 	follower.TakeReplicas(replicas)
 	follower.TakeHosts(hosts)
--- a/message/message.go
+++ b/message/message.go
@@ -181,6 +181,9 @@
 	// IP:port for frames.
 	Address string `json:"Address"`
 
+	// Processor cores that it may use.
+	Cores float64 `json:"Cores"`
+
 	// Failure domain.
 	FailureDomain string `json:"FailureDomain"`
 
--- a/message/message_gen.go
+++ b/message/message_gen.go
@@ -366,16 +366,11 @@
 	o = append(o, 0xa5, 0x48, 0x6f, 0x73, 0x74, 0x73)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Hosts)))
 	for za0001 := range z.Hosts {
-		// map header, size 3
-		// string "Address"
-		o = append(o, 0x83, 0xa7, 0x41, 0x64, 0x64, 0x72, 0x65, 0x73, 0x73)
-		o = msgp.AppendString(o, z.Hosts[za0001].Address)
-		// string "FailureDomain"
-		o = append(o, 0xad, 0x46, 0x61, 0x69, 0x6c, 0x75, 0x72, 0x65, 0x44, 0x6f, 0x6d, 0x61, 0x69, 0x6e)
-		o = msgp.AppendString(o, z.Hosts[za0001].FailureDomain)
-		// string "Name"
-		o = append(o, 0xa4, 0x4e, 0x61, 0x6d, 0x65)
-		o = msgp.AppendString(o, z.Hosts[za0001].Name)
+		o, err = z.Hosts[za0001].MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "Hosts", za0001)
+			return
+		}
 	}
 	// string "Replicas"
 	o = append(o, 0xa8, 0x52, 0x65, 0x70, 0x6c, 0x69, 0x63, 0x61, 0x73)
@@ -445,58 +440,23 @@
 				z.Hosts = make([]ListedHost, zb0002)
 			}
 			for za0001 := range z.Hosts {
-				var zb0003 uint32
-				zb0003, bts, err = msgp.ReadMapHeaderBytes(bts)
+				bts, err = z.Hosts[za0001].UnmarshalMsg(bts)
 				if err != nil {
 					err = msgp.WrapError(err, "Hosts", za0001)
 					return
 				}
-				for zb0003 > 0 {
-					zb0003--
-					field, bts, err = msgp.ReadMapKeyZC(bts)
-					if err != nil {
-						err = msgp.WrapError(err, "Hosts", za0001)
-						return
-					}
-					switch msgp.UnsafeString(field) {
-					case "Address":
-						z.Hosts[za0001].Address, bts, err = msgp.ReadStringBytes(bts)
-						if err != nil {
-							err = msgp.WrapError(err, "Hosts", za0001, "Address")
-							return
-						}
-					case "FailureDomain":
-						z.Hosts[za0001].FailureDomain, bts, err = msgp.ReadStringBytes(bts)
-						if err != nil {
-							err = msgp.WrapError(err, "Hosts", za0001, "FailureDomain")
-							return
-						}
-					case "Name":
-						z.Hosts[za0001].Name, bts, err = msgp.ReadStringBytes(bts)
-						if err != nil {
-							err = msgp.WrapError(err, "Hosts", za0001, "Name")
-							return
-						}
-					default:
-						bts, err = msgp.Skip(bts)
-						if err != nil {
-							err = msgp.WrapError(err, "Hosts", za0001)
-							return
-						}
-					}
-				}
 			}
 		case "Replicas":
-			var zb0004 uint32
-			zb0004, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			var zb0003 uint32
+			zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
 			if err != nil {
 				err = msgp.WrapError(err, "Replicas")
 				return
 			}
-			if cap(z.Replicas) >= int(zb0004) {
-				z.Replicas = (z.Replicas)[:zb0004]
+			if cap(z.Replicas) >= int(zb0003) {
+				z.Replicas = (z.Replicas)[:zb0003]
 			} else {
-				z.Replicas = make([]ListedReplica, zb0004)
+				z.Replicas = make([]ListedReplica, zb0003)
 			}
 			for za0002 := range z.Replicas {
 				bts, err = z.Replicas[za0002].UnmarshalMsg(bts)
@@ -545,7 +505,7 @@
 func (z *FeedNews) Msgsize() (s int) {
 	s = 1 + 10 + msgp.Int64Size + 7 + msgp.BytesPrefixSize + len(z.Config) + 6 + msgp.ArrayHeaderSize
 	for za0001 := range z.Hosts {
-		s += 1 + 8 + msgp.StringPrefixSize + len(z.Hosts[za0001].Address) + 14 + msgp.StringPrefixSize + len(z.Hosts[za0001].FailureDomain) + 5 + msgp.StringPrefixSize + len(z.Hosts[za0001].Name)
+		s += z.Hosts[za0001].Msgsize()
 	}
 	s += 9 + msgp.ArrayHeaderSize
 	for za0002 := range z.Replicas {
@@ -1145,12 +1105,15 @@
 }
 
 // MarshalMsg implements msgp.Marshaler
-func (z ListedHost) MarshalMsg(b []byte) (o []byte, err error) {
+func (z *ListedHost) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 3
+	// map header, size 4
 	// string "Address"
-	o = append(o, 0x83, 0xa7, 0x41, 0x64, 0x64, 0x72, 0x65, 0x73, 0x73)
+	o = append(o, 0x84, 0xa7, 0x41, 0x64, 0x64, 0x72, 0x65, 0x73, 0x73)
 	o = msgp.AppendString(o, z.Address)
+	// string "Cores"
+	o = append(o, 0xa5, 0x43, 0x6f, 0x72, 0x65, 0x73)
+	o = msgp.AppendFloat64(o, z.Cores)
 	// string "FailureDomain"
 	o = append(o, 0xad, 0x46, 0x61, 0x69, 0x6c, 0x75, 0x72, 0x65, 0x44, 0x6f, 0x6d, 0x61, 0x69, 0x6e)
 	o = msgp.AppendString(o, z.FailureDomain)
@@ -1184,6 +1147,12 @@
 				err = msgp.WrapError(err, "Address")
 				return
 			}
+		case "Cores":
+			z.Cores, bts, err = msgp.ReadFloat64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Cores")
+				return
+			}
 		case "FailureDomain":
 			z.FailureDomain, bts, err = msgp.ReadStringBytes(bts)
 			if err != nil {
@@ -1209,8 +1178,8 @@
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z ListedHost) Msgsize() (s int) {
-	s = 1 + 8 + msgp.StringPrefixSize + len(z.Address) + 14 + msgp.StringPrefixSize + len(z.FailureDomain) + 5 + msgp.StringPrefixSize + len(z.Name)
+func (z *ListedHost) Msgsize() (s int) {
+	s = 1 + 8 + msgp.StringPrefixSize + len(z.Address) + 6 + msgp.Float64Size + 14 + msgp.StringPrefixSize + len(z.FailureDomain) + 5 + msgp.StringPrefixSize + len(z.Name)
 	return
 }
 
--- a/replica/picker.go
+++ b/replica/picker.go
@@ -243,6 +243,15 @@
 	known.sample(result.Took, now)
 }
 
+// Forget drops what is known of a replica that is gone.
+func (picker *Picker) Forget(address string) {
+	picker.states.with(address, func(states map[string]*state) {
+		if known := states[address]; known != nil && known.outstanding == 0 {
+			delete(states, address)
+		}
+	})
+}
+
 // Status is what is known of a replica, for people.
 type Status struct {
 	Address     string
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -22,6 +22,9 @@
 	misplacedTime = 5 * time.Second
 )
 
+// Gone is the change that Changed is told of last for a replica.
+const Gone = "gone"
+
 // Replica is one process of a service.
 type Replica struct {
 	ID            string
@@ -104,6 +107,11 @@
 		}
 	}
 	roster.tell(next)
+	for id := range roster.known {
+		if _, ok := next[id]; !ok {
+			roster.domains.Delete(id)
+		}
+	}
 	roster.known = next
 	roster.publish(now)
 }
@@ -133,7 +141,7 @@
 	}
 	for id, replica := range roster.known {
 		if _, ok := next[id]; !ok {
-			roster.Changed(replica, "gone")
+			roster.Changed(replica, Gone)
 		}
 	}
 }
--- a/shard/shard.go
+++ b/shard/shard.go
@@ -14,6 +14,8 @@
 	Name          string
 	Address       string
 	FailureDomain string
+	// Cores is the processor cores that the host may use, 0 when not known.
+	Cores float64
 }
 
 type weighted struct {
