--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -31,6 +31,8 @@
 	rule func(id string, try int) (time.Duration, *verdict.Failure)
 	// gone names services without replicas.
 	gone string
+	// more adds replicas c, d and so on to each service.
+	more int
 }
 
 func (fleet *fleet) send(ctx context.Context, try *dispatch.Try) *dispatch.Reply {
@@ -64,7 +66,11 @@
 	if service == fleet.gone {
 		return nil
 	}
-	return []roster.Replica{{ID: service + "a", Service: service}, {ID: service + "b", Service: service}}
+	list := []roster.Replica{{ID: service + "a", Service: service}, {ID: service + "b", Service: service}}
+	for number := range fleet.more {
+		list = append(list, roster.Replica{ID: service + string(rune('c'+number)), Service: service})
+	}
+	return list
 }
 
 func (fleet *fleet) count(prefix string) int {
@@ -228,6 +234,37 @@
 	}
 }
 
+// No more replicas may have run a request than its route allows, with hedges and
+// retries together; refusals do not count.
+func TestMaxTries(t *testing.T) {
+	tests := []struct {
+		name string
+		rule func(string, int) (time.Duration, *verdict.Failure)
+		most int
+	}{
+		{name: "all fail", rule: func(string, int) (time.Duration, *verdict.Failure) {
+			return time.Millisecond, failure(verdict.MayHaveRun, verdict.ConnectionLost)
+		}, most: 2},
+		{name: "all hang", rule: func(string, int) (time.Duration, *verdict.Failure) { return time.Hour, nil }, most: 2},
+		{name: "late and failing", rule: func(string, int) (time.Duration, *verdict.Failure) {
+			return 60 * time.Millisecond, failure(verdict.Ran, verdict.BackendError)
+		}, most: 2},
+		{name: "all refuse", rule: func(string, int) (time.Duration, *verdict.Failure) {
+			return time.Millisecond, failure(verdict.NotRun, verdict.Shed)
+		}, most: 5},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				fleet := &fleet{rule: test.rule, more: 3}
+				newDispatcher(fleet).Serve(t.Context(), ask(plain(true)))
+				qt.Assert(t, fleet.count("s0"), qt.Equals, test.most)
+				synctest.Wait()
+			})
+		})
+	}
+}
+
 // A request that is not idempotent is never hedged, and one that may still run
 // is not said to have not run.
 func TestSlowRequestThatIsNotIdempotent(t *testing.T) {
