poll: pause longer while the store fails; let slow peers answer late

And a peer that was slow, not silent, was given up 150 ms past the target, with what it had. A peer counts as silent 150 ms past three targets.

--- a/peer/delegator.go
+++ b/peer/delegator.go
@@ -25,9 +25,11 @@
 	// mostGathered is the most shards that one host gathers: more take a small
 	// host's processor longer than another hop.
 	mostGathered = 24
-	// silenceTime past its target an answer is overdue from a peer that works:
-	// the peer answers with what it has at the target.
-	silenceTime = 150 * time.Millisecond
+	// silenceTargets of an answer's target, and silenceTime more, pass before a
+	// peer counts as silent. One that works answers at the target with what it has,
+	// and later only if that is too little; late answers are of use as well.
+	silenceTargets = 3
+	silenceTime    = 150 * time.Millisecond
 )
 
 // Delegator hands shards that have no replica near this host to peers that are
@@ -193,7 +195,7 @@
 
 // overdue is when a peer that works has answered.
 func overdue(request *dispatch.Request) time.Time {
-	late := request.Received.Add(request.Route.Target + silenceTime)
+	late := request.Received.Add(silenceTargets*request.Route.Target + silenceTime)
 	if request.Route.Target > 0 && late.Before(request.Deadline) {
 		return late
 	}
--- a/poll/poll.go
+++ b/poll/poll.go
@@ -3,7 +3,6 @@
 package poll
 
 import (
-	"cmp"
 	"context"
 	"math/rand/v2"
 	"time"
@@ -20,10 +19,12 @@
 
 // Loop reads at a steady pace. Set the fields before Run.
 type Loop struct {
-	// Every is the pause between readings, FailedEvery after a failure; Every
-	// holds for both when it is 0.
-	Every       time.Duration
+	// Every is the pause between readings.
+	Every time.Duration
+	// FailedEvery is the pause after a failure, doubled with each further one up
+	// to FailedMost. When it is 0, Every holds.
 	FailedEvery time.Duration
+	FailedMost  time.Duration
 	// Timeout bounds one reading.
 	Timeout time.Duration
 	// Read reads once.
@@ -40,11 +41,7 @@
 func (loop *Loop) Run(ctx context.Context) {
 	for ctx.Err() == nil {
 		loop.once(ctx)
-		every := loop.Every
-		if loop.failures > 0 {
-			every = cmp.Or(loop.FailedEvery, loop.Every)
-		}
-		pause := time.Duration(float64(every) * (1 - jitter/2 + jitter*rand.Float64()))
+		pause := time.Duration(float64(loop.pause()) * (1 - jitter/2 + jitter*rand.Float64()))
 		timer := time.NewTimer(pause)
 		select {
 		case <-timer.C:
@@ -54,6 +51,15 @@
 	}
 }
 
+// pause is the time to the next reading.
+func (loop *Loop) pause() time.Duration {
+	if loop.failures == 0 || loop.FailedEvery == 0 {
+		return loop.Every
+	}
+	const mostDoublings = 16
+	return min(loop.FailedMost, loop.FailedEvery<<min(loop.failures-1, mostDoublings))
+}
+
 func (loop *Loop) once(ctx context.Context) {
 	bounded, cancel := context.WithTimeout(ctx, loop.Timeout)
 	defer cancel()
--- a/poll/poll_test.go
+++ b/poll/poll_test.go
@@ -54,3 +54,32 @@
 		qt.Assert(t, readings, qt.Equals, 2)
 	})
 }
+
+// The pause grows while readings fail, and is short again after one that does
+// not.
+func TestPauses(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const steps = 8
+		ctx, cancel := context.WithCancel(t.Context())
+		var readings []time.Time
+		loop := &poll.Loop{Every: 5 * time.Second, FailedEvery: 100 * time.Millisecond, FailedMost: 400 * time.Millisecond, Timeout: time.Second}
+		loop.Lost, loop.Regained = func(error) {}, func(time.Duration) {}
+		loop.Read = func(context.Context) error {
+			readings = append(readings, time.Now())
+			if len(readings) == steps {
+				cancel()
+			}
+			if len(readings) == 1 || len(readings) == 6 {
+				return nil
+			}
+			return errors.New("test")
+		}
+		loop.Run(ctx)
+		want := []time.Duration{5000, 100, 200, 400, 400, 5000, 100}
+		for place, pause := range want {
+			pause *= time.Millisecond
+			got := readings[place+1].Sub(readings[place])
+			qt.Check(t, got >= pause*9/10 && got <= pause*11/10, qt.IsTrue, qt.Commentf("pause %d is %v, want about %v", place, got, pause))
+		}
+	})
+}
