--- a/peer/peer_test.go
+++ b/peer/peer_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"net"
 	"slices"
 	"testing"
 	"testing/synctest"
@@ -12,6 +13,7 @@
 
 	"fescuehall/dispatch"
 	"fescuehall/exchange"
+	"fescuehall/link"
 	"fescuehall/logbook"
 	"fescuehall/message"
 	"fescuehall/peer"
@@ -215,3 +217,34 @@
 	list.Update(peers(1))
 	qt.Assert(t, list.Count(), qt.Equals, 4)
 }
+
+// Messages between two hosts come through as they were sent; a host that is
+// down has not run anything.
+func TestWire(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	qt.Assert(t, err, qt.IsNil)
+	answering := &peer.Wire{
+		Gather: func(_ context.Context, asked *message.GatherRequest) *message.GatherReply {
+			return &message.GatherReply{RequestID: asked.RequestID, Receipts: asked.Shards}
+		},
+		News: func(asked *message.FeedFetch) *message.FeedNews {
+			return &message.FeedNews{Version: asked.Version + 1}
+		},
+	}
+	server := &link.Server{Handle: answering.Handle}
+	ended := make(chan error)
+	go func() { ended <- server.Run(listener) }()
+	asking := &peer.Wire{}
+	to := shard.Host{Name: "h1", Address: listener.Addr().String()}
+	reply, err := asking.AskGather(t.Context(), to, &message.GatherRequest{RequestID: "r", Shards: []string{"s1"}})
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, reply.Receipts, qt.DeepEquals, []string{"s1"})
+	news, err := asking.AskNews(t.Context(), to, &message.FeedFetch{Version: 7})
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, news.Version, qt.Equals, uint64(8))
+	listener.Close()
+	<-ended
+	other := &peer.Wire{}
+	_, err = other.AskGather(t.Context(), to, &message.GatherRequest{})
+	qt.Assert(t, verdict.Of(err).Verdict, qt.Equals, verdict.NotRun)
+}
