roster: drop what was held after an outage when readings do not change

Of 16 hosts of a domain two kept a replica from 13.3 to 19.7 s: they took their reading while missing entries were held after the outage, and were told 'unchanged' from then on, which never looked at what was held. Ruled out: slow or stale readings; the other 14 hosts had it gone by 14.5 s. Change: Confirm drops what is no longer to be held, and lets misplaced replicas return. TestHeldReplicasAreDroppedWithoutAChange failed before.

--- a/roster/roster.go
+++ b/roster/roster.go
@@ -49,8 +49,12 @@
 	// be nil.
 	Changed func(replica Replica, change string)
 
-	mu        sync.Mutex
-	known     map[string]Replica
+	mu    sync.Mutex
+	known map[string]Replica
+	// list is the last reading, and held is set when known has replicas that are
+	// missing in it.
+	list      []Replica
+	held      bool
 	misplaced map[string]time.Time
 	readAt    time.Time
 	backAt    time.Time
@@ -93,18 +97,40 @@
 	if !roster.readAt.IsZero() && now.Sub(roster.readAt) > outageTime {
 		roster.backAt = now
 	}
+	roster.take(list, now)
+}
+
+// Confirm takes a reading that found the list unchanged.
+func (roster *Roster) Confirm() {
+	roster.mu.Lock()
+	defer roster.mu.Unlock()
+	now := roster.Now()
+	roster.readAt = now
+	if roster.held && now.Sub(roster.backAt) >= returnTime {
+		roster.take(roster.list, now)
+		return
+	}
+	if len(roster.misplaced) > 0 {
+		roster.publish(now)
+	}
+}
+
+func (roster *Roster) take(list []Replica, now time.Time) {
 	roster.readAt = now
+	roster.list = list
+	roster.held = false
 	next := make(map[string]Replica, len(list))
 	for _, replica := range list {
 		next[replica.ID] = replica
 		roster.domains.Store(replica.ID, replica.FailureDomain)
 	}
-	if now.Sub(roster.backAt) < returnTime {
-		for id, replica := range roster.known {
-			if _, ok := next[id]; !ok {
-				next[id] = replica
-			}
+	hold := now.Sub(roster.backAt) < returnTime
+	for id, replica := range roster.known {
+		if _, ok := next[id]; ok || !hold {
+			continue
 		}
+		next[id] = replica
+		roster.held = true
 	}
 	roster.tell(next)
 	for id := range roster.known {
@@ -116,13 +142,6 @@
 	roster.publish(now)
 }
 
-// Confirm takes a reading that found the list unchanged.
-func (roster *Roster) Confirm() {
-	roster.mu.Lock()
-	defer roster.mu.Unlock()
-	roster.readAt = roster.Now()
-}
-
 // tell reports what differs between the known replicas and the next ones.
 func (roster *Roster) tell(next map[string]Replica) {
 	if roster.Changed == nil {
--- a/roster/roster_test.go
+++ b/roster/roster_test.go
@@ -66,6 +66,21 @@
 	}
 }
 
+// What is held after an outage is dropped in time also when no reading differs
+// from the one before.
+func TestHeldReplicasAreDroppedWithoutAChange(t *testing.T) {
+	known, clock := newRoster()
+	known.Update(both())
+	clock.now = clock.now.Add(5 * time.Second)
+	known.Update(both()[:1])
+	qt.Assert(t, ids(known.Of("desk")), qt.DeepEquals, []string{"a", "b"})
+	for range 6 {
+		clock.now = clock.now.Add(500 * time.Millisecond)
+		known.Confirm()
+	}
+	qt.Assert(t, ids(known.Of("desk")), qt.DeepEquals, []string{"a"})
+}
+
 func TestLeavingReplicaTakesNoWork(t *testing.T) {
 	known, _ := newRoster()
 	list := both()
