reach: send callers elsewhere while a host is cut off

Ruled out: taking slow answers for a cut, which would take hosts out under load; and the loss of the store alone, which all hosts may share.

--- a/dispatch/bundle.go
+++ b/dispatch/bundle.go
@@ -30,6 +30,9 @@
 			}
 		}
 		run.bundles = append(run.bundles, flight)
+		if bundle.Far {
+			run.far += len(flight.parts)
+		}
 		run.inFlight++
 		go func() {
 			flight.reply = run.dispatcher.Ask(run.ctx, run.request, bundle)
@@ -45,6 +48,9 @@
 	run.inFlight--
 	failure := flight.reply.Failure
 	if failure == nil {
+		if flight.bundle.Far && run.dispatcher.Reach != nil {
+			run.farAnswered()
+		}
 		run.takeBundle(flight)
 		return
 	}
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -6,6 +6,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -14,6 +15,7 @@
 	"fescuehall/logbook"
 	"fescuehall/metric"
 	"fescuehall/rank"
+	"fescuehall/reach"
 	"fescuehall/replica"
 	"fescuehall/retry"
 	"fescuehall/roster"
@@ -40,6 +42,8 @@
 type Bundle struct {
 	Peer   string
 	Shards []string
+	// Far is set when the peer is in another failure domain.
+	Far bool
 }
 
 // Gathered is a peer's answer to a bundle.
@@ -110,6 +114,11 @@
 	Random func() float64
 	// Event is told of each decision.
 	Event func(event string, fields logbook.Fields)
+	// Domain is this host's failure domain.
+	Domain string
+	// Reach is told whether other failure domains answer, and says whether this
+	// host is cut off from them; it may be nil.
+	Reach *reach.Gate
 	// Observe counts each request; it may be nil.
 	Observe func(request metric.Request)
 
@@ -197,6 +206,21 @@
 	return route.Timeout / unknownShare
 }
 
+// cutOff reports whether a gathered request can't be answered from here: other
+// failure domains can't be reached, and this one has too few of the shards.
+func (dispatcher *Dispatcher) cutOff(found *route.Route) bool {
+	if dispatcher.Reach == nil || !found.Gathers() || !dispatcher.Reach.CutOff() {
+		return false
+	}
+	near := 0
+	for _, shard := range found.Shards {
+		if slices.ContainsFunc(dispatcher.Replicas(shard), func(replica roster.Replica) bool { return replica.FailureDomain == dispatcher.Domain }) {
+			near++
+		}
+	}
+	return near < found.LeastParts()
+}
+
 // judge tells the throttle whether a request is in time: when it is answered, or
 // as soon as its target has passed, since a late one may go on for long.
 func (dispatcher *Dispatcher) judge(throttle *rank.Throttle, run *run) (answered func()) {
@@ -216,6 +240,9 @@
 // has left, which ends ctx.
 func (dispatcher *Dispatcher) Serve(ctx context.Context, request *Request) *Answer {
 	run := newRun(dispatcher, request)
+	if dispatcher.cutOff(request.Route) {
+		return run.refuseCutOff()
+	}
 	// A peer's bundle was admitted by the peer.
 	if !request.Hop {
 		throttle := dispatcher.throttle(run.parts[0].service)
@@ -229,6 +256,9 @@
 	}
 	run.startAll()
 	gone := run.wait(ctx)
+	if !gone && request.Route.Gathers() {
+		run.checkReach()
+	}
 	answer := run.answer(gone)
 	run.inTime = gone || answer.Failure == nil && run.beforeTarget(time.Now())
 	run.close(gone)
--- a/dispatch/result.go
+++ b/dispatch/result.go
@@ -26,6 +26,18 @@
 	return refused
 }
 
+// cutOffRetryAfter is when a request may come back after a refusal by a host that
+// is cut off: the balancer takes one to two seconds to choose other hosts.
+const cutOffRetryAfter = time.Second
+
+// refuseCutOff answers a request that this host can't answer while it is cut off.
+func (run *run) refuseCutOff() *Answer {
+	run.cancel()
+	run.observe("cut off", time.Now())
+	run.dispatcher.Event("cut off", logbook.Fields{"id": run.request.ID, "route": run.request.Route.Name, "rank": run.request.Route.Rank, "version": run.request.Version})
+	return &Answer{Failure: verdict.New(verdict.NotRun, verdict.Unreachable, "no other failure domain can be reached"), RetryAfter: cutOffRetryAfter}
+}
+
 // answer returns the answer to what is in.
 func (run *run) answer(gone bool) *Answer {
 	if gone {
--- a/dispatch/run.go
+++ b/dispatch/run.go
@@ -85,6 +85,11 @@
 	retries    int
 	cut        bool
 	inTime     bool
+	// far counts the shards asked in other failure domains, farIn those answers.
+	far   int
+	farIn int
+	// reached is set once it is told whether other domains answer.
+	reached bool
 }
 
 func newRun(dispatcher *Dispatcher, request *Request) *run {
@@ -143,6 +148,9 @@
 	flight.ctx, flight.cancel = context.WithCancel(run.ctx)
 	part.flights = append(part.flights, flight)
 	part.tried[flight.replica.ID] = true
+	if run.isFar(flight.replica) {
+		run.far++
+	}
 	part.mayRun++
 	part.running++
 	run.inFlight++
@@ -214,6 +222,9 @@
 	if run.open == 0 || !now.Before(run.request.Deadline.Add(-deadlineMargin)) {
 		return true
 	}
+	if !run.cutAt.IsZero() && !now.Before(run.cutAt) {
+		run.checkReach()
+	}
 	least := run.request.Route.LeastParts()
 	if run.good+run.open < least {
 		return true
@@ -225,6 +236,31 @@
 	return true
 }
 
+// leastFar is the least number of shards asked in other failure domains whose
+// silence counts.
+const leastFar = 3
+
+func (run *run) isFar(replica roster.Replica) bool {
+	return run.dispatcher.Reach != nil && replica.FailureDomain != run.dispatcher.Domain
+}
+
+func (run *run) farAnswered() {
+	run.farIn++
+	run.dispatcher.Reach.Hit()
+}
+
+// checkReach tells once, at the target or the end, whether other failure
+// domains left this request unanswered.
+func (run *run) checkReach() {
+	if run.dispatcher.Reach == nil || run.reached {
+		return
+	}
+	run.reached = true
+	if run.far >= leastFar && run.farIn == 0 {
+		run.dispatcher.Reach.Miss()
+	}
+}
+
 // wake returns when there is next something to decide.
 func (run *run) wake() time.Time {
 	next := run.request.Deadline.Add(-deadlineMargin)
@@ -244,6 +280,9 @@
 	part := run.parts[flight.place]
 	part.running--
 	run.inFlight--
+	if flight.reply.Answer != nil && run.isFar(flight.replica) {
+		run.farAnswered()
+	}
 	if part.ended() {
 		return
 	}
--- a/frame/frame.go
+++ b/frame/frame.go
@@ -30,7 +30,9 @@
 	GatherReply
 	FeedFetch
 	FeedNews
-	lastType = FeedNews
+	Probe
+	ProbeReply
+	lastType = ProbeReply
 )
 
 // Frame is one message. Correlation matches a reply to its request on a
--- a/peer/delegator.go
+++ b/peer/delegator.go
@@ -77,7 +77,9 @@
 			delete(far, shard)
 		}
 		for group := range slices.Chunk(covered, mostGathered) {
-			bundles = append(bundles, delegator.bundle(peers[domain], group))
+			bundle := delegator.bundle(peers[domain], group)
+			bundle.Far = true
+			bundles = append(bundles, bundle)
 		}
 		delete(peers, domain)
 	}
--- a/peer/frames.go
+++ b/peer/frames.go
@@ -63,6 +63,12 @@
 	return news, wire.call(ctx, to, frame.FeedFetch, request, news)
 }
 
+// Probe returns nil when a peer answers. Neither message has a body.
+func (wire *Wire) Probe(ctx context.Context, to shard.Host) error {
+	_, err := wire.link(to.Address).Call(ctx, frame.Probe, nil)
+	return err
+}
+
 func (wire *Wire) link(address string) *link.Client {
 	known, ok := wire.links.Load(address)
 	if !ok {
@@ -73,6 +79,10 @@
 
 // Handle answers a peer's frame, for link.Server.
 func (wire *Wire) Handle(ctx context.Context, received frame.Frame, reply link.Reply) {
+	if received.Type == frame.Probe {
+		reply(frame.ProbeReply, nil)
+		return
+	}
 	var kind frame.Type
 	var answer encoder
 	var err error
--- a/peer/peer_test.go
+++ b/peer/peer_test.go
@@ -242,6 +242,7 @@
 	news, err := asking.AskNews(t.Context(), to, &message.FeedFetch{Version: 7})
 	qt.Assert(t, err, qt.IsNil)
 	qt.Assert(t, news.Version, qt.Equals, uint64(8))
+	qt.Assert(t, asking.Probe(t.Context(), to), qt.IsNil)
 	listener.Close()
 	<-ended
 	other := &peer.Wire{}
