--- a/roster/roster_test.go
+++ b/roster/roster_test.go
@@ -107,6 +107,16 @@
 	qt.Assert(t, ids(known.Of("desk")), qt.DeepEquals, []string{"a", "b"})
 }
 
+// A misplaced replica returns also when readings do not change.
+func TestMisplacedReplicaReturnsWithoutAChange(t *testing.T) {
+	known, clock := newRoster()
+	known.Update(both())
+	known.Misplaced("a")
+	clock.now = clock.now.Add(6 * time.Second)
+	known.Confirm()
+	qt.Assert(t, ids(known.Of("desk")), qt.DeepEquals, []string{"a", "b"})
+}
+
 func TestChangesAreTold(t *testing.T) {
 	known, clock := newRoster()
 	var told []string
