suspect: share which replicas and hosts are late within a domain

Cause: on the grown sites a host asks a replica once in three seconds. Change: hosts keep, for each replica and peer, when it was last in time and the row of late requests since; followers and the reader exchange the open rows with the question they ask each other each 0.4 s anyway. What was late in a row for longer than a pause lasts counts 80 ms dearer, so that a full replica's load still spreads; its shards count as far when no other is near. Ruled out: passing suspects over altogether, which would halve a shard that has two replicas while both are slow.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -20,6 +20,7 @@
 	"fescuehall/retry"
 	"fescuehall/roster"
 	"fescuehall/route"
+	"fescuehall/suspect"
 	"fescuehall/verdict"
 )
 
@@ -110,6 +111,8 @@
 	Hosts func() int
 	// Picker chooses among replicas, by their IDs.
 	Picker *replica.Picker
+	// Suspects records which replicas are late; it may be nil.
+	Suspects *suspect.Ledger
 	// Random returns a number in [0, 1).
 	Random func() float64
 	// Event is told of each decision.
--- a/dispatch/run.go
+++ b/dispatch/run.go
@@ -188,6 +188,7 @@
 		result.Cancelled = failure.Code == verdict.Cancelled
 	}
 	run.dispatcher.Picker.Done(flight.replica.ID, result)
+	run.judge(flight.replica.ID, result, failure)
 	if failure == nil || result.Cancelled {
 		// A try that was withdrawn took at least that long. Without it the delay
 		// would learn from fast tries alone.
@@ -196,6 +197,22 @@
 	run.landings <- flight
 }
 
+// judge tells the suspicions of a try that was in time or late. A refusal, or a
+// try that was withdrawn early, is neither.
+func (run *run) judge(id string, result replica.Result, failure *verdict.Failure) {
+	suspects := run.dispatcher.Suspects
+	if suspects == nil {
+		return
+	}
+	late := result.Took > run.dispatcher.hedgeAfter(run.request.Route)
+	switch {
+	case late || failure != nil && failure.Verdict != verdict.NotRun && !result.Cancelled || result.Lost:
+		suspects.Late(id)
+	case failure == nil:
+		suspects.Timely(id)
+	}
+}
+
 // wait runs the request until its answer is settled. It reports whether the
 // caller left before.
 func (run *run) wait(ctx context.Context) (gone bool) {
--- a/message/message.go
+++ b/message/message.go
@@ -41,6 +41,9 @@
 	// Host of the lists that it holds.
 	Source string `json:"Source"`
 
+	// Late replicas and hosts that the asking host knows of.
+	Streaks []Streak `json:"Streaks"`
+
 	// Version of the routes that the asking host holds.
 	Version uint64 `json:"Version"`
 }
@@ -65,6 +68,9 @@
 	// Host that read the lists.
 	Source string `json:"Source"`
 
+	// Late replicas and hosts that hosts of the failure domain know of.
+	Streaks []Streak `json:"Streaks"`
+
 	// Set when the asking host holds the lists.
 	Unchanged bool `json:"Unchanged"`
 
@@ -284,6 +290,21 @@
 	Text string `json:"Text,omitempty"`
 }
 
+// Streak tells of a replica or host that left requests late, in a row.
+type Streak struct {
+	// Time since the first late request of the row.
+	FirstMillis int64 `json:"FirstMillis"`
+
+	// Time since the last late request.
+	LastMillis int64 `json:"LastMillis"`
+
+	// Replica or host.
+	Name string `json:"Name"`
+
+	// Time since the last request that was in time, -1 for none.
+	TimelyMillis int64 `json:"TimelyMillis"`
+}
+
 // SubReply is the outcome of a SubRequest.
 type SubReply struct {
 	// Echo of the request.
--- a/message/message_gen.go
+++ b/message/message_gen.go
@@ -283,15 +283,25 @@
 }
 
 // MarshalMsg implements msgp.Marshaler
-func (z FeedFetch) MarshalMsg(b []byte) (o []byte, err error) {
+func (z *FeedFetch) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 3
+	// map header, size 4
 	// string "Sequence"
-	o = append(o, 0x83, 0xa8, 0x53, 0x65, 0x71, 0x75, 0x65, 0x6e, 0x63, 0x65)
+	o = append(o, 0x84, 0xa8, 0x53, 0x65, 0x71, 0x75, 0x65, 0x6e, 0x63, 0x65)
 	o = msgp.AppendUint64(o, z.Sequence)
 	// string "Source"
 	o = append(o, 0xa6, 0x53, 0x6f, 0x75, 0x72, 0x63, 0x65)
 	o = msgp.AppendString(o, z.Source)
+	// string "Streaks"
+	o = append(o, 0xa7, 0x53, 0x74, 0x72, 0x65, 0x61, 0x6b, 0x73)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Streaks)))
+	for za0001 := range z.Streaks {
+		o, err = z.Streaks[za0001].MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "Streaks", za0001)
+			return
+		}
+	}
 	// string "Version"
 	o = append(o, 0xa7, 0x56, 0x65, 0x72, 0x73, 0x69, 0x6f, 0x6e)
 	o = msgp.AppendUint64(o, z.Version)
@@ -328,6 +338,25 @@
 				err = msgp.WrapError(err, "Source")
 				return
 			}
+		case "Streaks":
+			var zb0002 uint32
+			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Streaks")
+				return
+			}
+			if cap(z.Streaks) >= int(zb0002) {
+				z.Streaks = (z.Streaks)[:zb0002]
+			} else {
+				z.Streaks = make([]Streak, zb0002)
+			}
+			for za0001 := range z.Streaks {
+				bts, err = z.Streaks[za0001].UnmarshalMsg(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Streaks", za0001)
+					return
+				}
+			}
 		case "Version":
 			z.Version, bts, err = msgp.ReadUint64Bytes(bts)
 			if err != nil {
@@ -347,17 +376,21 @@
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z FeedFetch) Msgsize() (s int) {
-	s = 1 + 9 + msgp.Uint64Size + 7 + msgp.StringPrefixSize + len(z.Source) + 8 + msgp.Uint64Size
+func (z *FeedFetch) Msgsize() (s int) {
+	s = 1 + 9 + msgp.Uint64Size + 7 + msgp.StringPrefixSize + len(z.Source) + 8 + msgp.ArrayHeaderSize
+	for za0001 := range z.Streaks {
+		s += z.Streaks[za0001].Msgsize()
+	}
+	s += 8 + msgp.Uint64Size
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
 func (z *FeedNews) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 8
+	// map header, size 9
 	// string "AgeMicros"
-	o = append(o, 0x88, 0xa9, 0x41, 0x67, 0x65, 0x4d, 0x69, 0x63, 0x72, 0x6f, 0x73)
+	o = append(o, 0x89, 0xa9, 0x41, 0x67, 0x65, 0x4d, 0x69, 0x63, 0x72, 0x6f, 0x73)
 	o = msgp.AppendInt64(o, z.AgeMicros)
 	// string "Config"
 	o = append(o, 0xa6, 0x43, 0x6f, 0x6e, 0x66, 0x69, 0x67)
@@ -388,6 +421,16 @@
 	// string "Source"
 	o = append(o, 0xa6, 0x53, 0x6f, 0x75, 0x72, 0x63, 0x65)
 	o = msgp.AppendString(o, z.Source)
+	// string "Streaks"
+	o = append(o, 0xa7, 0x53, 0x74, 0x72, 0x65, 0x61, 0x6b, 0x73)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Streaks)))
+	for za0003 := range z.Streaks {
+		o, err = z.Streaks[za0003].MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "Streaks", za0003)
+			return
+		}
+	}
 	// string "Unchanged"
 	o = append(o, 0xa9, 0x55, 0x6e, 0x63, 0x68, 0x61, 0x6e, 0x67, 0x65, 0x64)
 	o = msgp.AppendBool(o, z.Unchanged)
@@ -477,6 +520,25 @@
 				err = msgp.WrapError(err, "Source")
 				return
 			}
+		case "Streaks":
+			var zb0004 uint32
+			zb0004, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Streaks")
+				return
+			}
+			if cap(z.Streaks) >= int(zb0004) {
+				z.Streaks = (z.Streaks)[:zb0004]
+			} else {
+				z.Streaks = make([]Streak, zb0004)
+			}
+			for za0003 := range z.Streaks {
+				bts, err = z.Streaks[za0003].UnmarshalMsg(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Streaks", za0003)
+					return
+				}
+			}
 		case "Unchanged":
 			z.Unchanged, bts, err = msgp.ReadBoolBytes(bts)
 			if err != nil {
@@ -511,7 +573,11 @@
 	for za0002 := range z.Replicas {
 		s += z.Replicas[za0002].Msgsize()
 	}
-	s += 9 + msgp.Uint64Size + 7 + msgp.StringPrefixSize + len(z.Source) + 10 + msgp.BoolSize + 8 + msgp.Uint64Size
+	s += 9 + msgp.Uint64Size + 7 + msgp.StringPrefixSize + len(z.Source) + 8 + msgp.ArrayHeaderSize
+	for za0003 := range z.Streaks {
+		s += z.Streaks[za0003].Msgsize()
+	}
+	s += 10 + msgp.BoolSize + 8 + msgp.Uint64Size
 	return
 }
 
@@ -1647,6 +1713,85 @@
 	return
 }
 
+// MarshalMsg implements msgp.Marshaler
+func (z *Streak) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 4
+	// string "FirstMillis"
+	o = append(o, 0x84, 0xab, 0x46, 0x69, 0x72, 0x73, 0x74, 0x4d, 0x69, 0x6c, 0x6c, 0x69, 0x73)
+	o = msgp.AppendInt64(o, z.FirstMillis)
+	// string "LastMillis"
+	o = append(o, 0xaa, 0x4c, 0x61, 0x73, 0x74, 0x4d, 0x69, 0x6c, 0x6c, 0x69, 0x73)
+	o = msgp.AppendInt64(o, z.LastMillis)
+	// string "Name"
+	o = append(o, 0xa4, 0x4e, 0x61, 0x6d, 0x65)
+	o = msgp.AppendString(o, z.Name)
+	// string "TimelyMillis"
+	o = append(o, 0xac, 0x54, 0x69, 0x6d, 0x65, 0x6c, 0x79, 0x4d, 0x69, 0x6c, 0x6c, 0x69, 0x73)
+	o = msgp.AppendInt64(o, z.TimelyMillis)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *Streak) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "FirstMillis":
+			z.FirstMillis, bts, err = msgp.ReadInt64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "FirstMillis")
+				return
+			}
+		case "LastMillis":
+			z.LastMillis, bts, err = msgp.ReadInt64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "LastMillis")
+				return
+			}
+		case "Name":
+			z.Name, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Name")
+				return
+			}
+		case "TimelyMillis":
+			z.TimelyMillis, bts, err = msgp.ReadInt64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "TimelyMillis")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *Streak) Msgsize() (s int) {
+	s = 1 + 12 + msgp.Int64Size + 11 + msgp.Int64Size + 5 + msgp.StringPrefixSize + len(z.Name) + 13 + msgp.Int64Size
+	return
+}
+
 // MarshalMsg implements msgp.Marshaler
 func (z *SubReply) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
--- a/peer/delegator.go
+++ b/peer/delegator.go
@@ -15,6 +15,7 @@
 	"fescuehall/roster"
 	"fescuehall/route"
 	"fescuehall/shard"
+	"fescuehall/suspect"
 	"fescuehall/verdict"
 )
 
@@ -51,6 +52,8 @@
 	Call func(ctx context.Context, peer shard.Host, request *message.GatherRequest) (*message.GatherReply, error)
 	// Picker chooses among peers, by their names.
 	Picker *replica.Picker
+	// Suspects records which peers are silent.
+	Suspects *suspect.Ledger
 	// Event is told of each decision.
 	Event func(event string, fields logbook.Fields)
 }
@@ -166,9 +169,13 @@
 	took := time.Since(started)
 	if failure == nil {
 		delegator.Picker.Done(bundle.Peer, replica.Result{Took: took})
+		delegator.Suspects.Timely(bundle.Peer)
 		return &dispatch.Gathered{Receipts: reply.Receipts, Records: reply.Records}
 	}
 	withdrawn := ctx.Err() != nil
+	if !withdrawn || took >= request.Route.Target {
+		delegator.Suspects.Late(bundle.Peer)
+	}
 	delegator.Picker.Done(bundle.Peer, replica.Result{Took: took, Failed: !withdrawn, Lost: !withdrawn, Cancelled: withdrawn})
 	if !withdrawn {
 		delegator.Event("peer failed", logbook.Fields{"id": request.ID, "peer": bundle.Peer, "shards": len(bundle.Shards), "took_ms": took.Milliseconds(), "verdict": failure.Verdict.String(), "detail": failure.Detail})
--- a/peer/peer_test.go
+++ b/peer/peer_test.go
@@ -21,6 +21,7 @@
 	"fescuehall/roster"
 	"fescuehall/route"
 	"fescuehall/shard"
+	"fescuehall/suspect"
 	"fescuehall/verdict"
 )
 
@@ -62,6 +63,7 @@
 		Replicas: replicas,
 		Ejected:  func(string) bool { return false },
 		Picker:   replica.New(),
+		Suspects: &suspect.Ledger{Now: time.Now},
 		Event:    func(string, logbook.Fields) {},
 	}
 }
@@ -182,6 +184,7 @@
 			Replicas: replicas,
 			Hosts:    func() int { return 1 },
 			Picker:   replica.New(),
+			Suspects: &suspect.Ledger{Now: time.Now},
 			Random:   func() float64 { return 0 },
 			Event:    func(string, logbook.Fields) {},
 		}
--- a/replica/picker.go
+++ b/replica/picker.go
@@ -25,6 +25,10 @@
 	failurePenalty = 500 * time.Millisecond
 	// forgetTime halves a measured time that has not been renewed.
 	forgetTime = 2 * time.Second
+	// suspectPenalty is the expected time that the other replicas have to save
+	// before a suspected one is used: more than another failure domain costs, so
+	// that its work moves there, while a full one still shares its load.
+	suspectPenalty = 80 * time.Millisecond
 )
 
 // Picker holds what is known of replicas. Set the fields before use.
@@ -36,6 +40,9 @@
 	// Distance makes a replica dearer by a time, as one that is further away; nil
 	// takes all alike.
 	Distance func(address string) time.Duration
+	// Suspected reports whether a replica leaves requests late in a row; it may
+	// be nil.
+	Suspected func(address string) bool
 
 	states sharded[*state]
 }
@@ -163,6 +170,9 @@
 	if picker.Distance != nil {
 		score += float64(picker.Distance(address))
 	}
+	if picker.Suspected != nil && picker.Suspected(address) {
+		score += float64(suspectPenalty)
+	}
 	return score
 }
 
--- a/replica/picker_test.go
+++ b/replica/picker_test.go
@@ -92,3 +92,17 @@
 	counts := picks(picker, clock, 200, addresses, func(string) replica.Result { return replica.Result{Took: 10 * time.Millisecond} })
 	qt.Assert(t, counts["slow"] > 50, qt.IsTrue, qt.Commentf("%v", counts))
 }
+
+// A suspected replica is passed over for others, until these are much busier.
+func TestPickerAvoidsSuspects(t *testing.T) {
+	picker, clock := newPicker()
+	picker.Suspected = func(address string) bool { return address == "suspect" }
+	result := func(string) replica.Result { return replica.Result{Took: 10 * time.Millisecond} }
+	counts := picks(picker, clock, 200, []string{"good", "suspect"}, result)
+	qt.Assert(t, counts["good"] > 190, qt.IsTrue, qt.Commentf("%v", counts))
+	for range 20 {
+		picker.Start("good")
+	}
+	counts = picks(picker, clock, 200, []string{"good", "suspect"}, result)
+	qt.Assert(t, counts["suspect"] > 100, qt.IsTrue, qt.Commentf("%v", counts))
+}
