dispatch: let peers answer bundles in parts

A peer that missed its own least share lost the shards that it had. Change: a peer tells what is in 10 ms before the asking host answers, then what came since, at most each 6 ms, until the host withdraws the bundle. The host answers as soon as it has enough. A bundle's least share is gone; a lost peer's shards that came before count. TestSlowPartsOfTwoBundles, TestTell and TestBundles show it; the first can't pass with one answer a bundle.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -34,8 +34,15 @@
 	Received time.Time
 	// Deadline is when the caller or the route gives it up.
 	Deadline time.Time
-	// Hop is set when the answer goes through another host.
-	Hop bool
+	// Tell is set when another host asks for its caller. It is told of what is in
+	// when the target is near, and afterwards of each part that comes. Serve then
+	// returns what was not told.
+	Tell func(*Answer)
+}
+
+// hop reports whether the answer goes through another host.
+func (request *Request) hop() bool {
+	return request.Tell != nil
 }
 
 // Bundle is some shards of a request that one peer gathers: one message each
@@ -47,7 +54,7 @@
 	Far bool
 }
 
-// Gathered is a peer's answer to a bundle.
+// Gathered is one of a peer's answers to a bundle, with what is new.
 type Gathered struct {
 	Receipts []string
 	Records  []byte
@@ -104,9 +111,9 @@
 	// Plan returns the bundles that peers are to gather; it may be nil. The other
 	// shards are asked from here.
 	Plan func(shards []string) []Bundle
-	// Ask lets a peer gather a bundle. It always returns, soon after ctx has
-	// ended.
-	Ask func(ctx context.Context, request *Request, bundle Bundle) *Gathered
+	// Ask lets a peer gather a bundle, tells of what comes before its last answer
+	// and returns that. It always returns, soon after ctx has ended.
+	Ask func(ctx context.Context, request *Request, bundle Bundle, tell func(*Gathered)) *Gathered
 	// Hosts returns how many hosts share the budget of extra requests.
 	Hosts func() int
 	// Picker chooses among replicas, by their IDs.
@@ -247,14 +254,14 @@
 		return run.refuseCutOff()
 	}
 	// A peer's bundle was admitted by the peer.
-	if !request.Hop {
+	if !request.hop() {
 		throttle := dispatcher.throttle(run.parts[0].service)
 		if admitted, refusal := throttle.Admit(request.Route.Rank); !admitted {
 			return run.refuse(refusal)
 		}
 		defer dispatcher.judge(throttle, run)()
 	}
-	if request.Route.Gathers() && !request.Hop && dispatcher.Plan != nil {
+	if request.Route.Gathers() && !request.hop() && dispatcher.Plan != nil {
 		run.startBundles()
 	}
 	run.startAll()
--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -316,32 +316,51 @@
 }
 
 // A peer's bundle counts for its shards; what has not run there is asked from
-// here, and what may have run is not.
+// here, and what may have run is not. Answers before the last one count at once.
 func TestBundles(t *testing.T) {
 	tests := []struct {
-		name     string
-		gathered *dispatch.Gathered
-		direct   int
-		in       int
-		verdict  verdict.Verdict
+		name string
+		// told is what the peer answers first, last what it ends with after a second.
+		told    []*dispatch.Gathered
+		last    *dispatch.Gathered
+		direct  int
+		in      int
+		verdict verdict.Verdict
+		early   bool
 	}{
-		{name: "all in", gathered: &dispatch.Gathered{Receipts: []string{"x", "y"}, Records: make([]byte, 32)}, in: 4},
-		{name: "one left out", gathered: &dispatch.Gathered{Receipts: []string{"x"}, Records: make([]byte, 32)}, in: 3},
-		{name: "not run", gathered: &dispatch.Gathered{Failure: failure(verdict.NotRun, verdict.Unreachable)}, direct: 2, in: 4},
-		{name: "may have run", gathered: &dispatch.Gathered{Failure: failure(verdict.MayHaveRun, verdict.ConnectionLost)}, verdict: verdict.MayHaveRun},
+		{name: "all in", last: gathered("x", "y"), in: 4},
+		{name: "one left out", last: gathered("x"), in: 3},
+		{name: "one by one", told: []*dispatch.Gathered{gathered("x"), gathered("y")}, last: gathered(), in: 4, early: true},
+		{name: "enough before the last", told: []*dispatch.Gathered{gathered(), gathered("x")}, last: gathered("y"), in: 3, early: true},
+		{name: "one in, then lost", told: []*dispatch.Gathered{gathered("x")}, last: &dispatch.Gathered{Failure: failure(verdict.MayHaveRun, verdict.ConnectionLost)}, in: 3, early: true},
+		{name: "more than asked", last: gathered("x", "y", "z"), in: 4},
+		{name: "not run", last: &dispatch.Gathered{Failure: failure(verdict.NotRun, verdict.Unreachable)}, direct: 2, in: 4},
+		{name: "may have run", last: &dispatch.Gathered{Failure: failure(verdict.MayHaveRun, verdict.ConnectionLost)}, verdict: verdict.MayHaveRun},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				fleet := &fleet{}
-				defer time.Sleep(time.Second)
+				defer time.Sleep(2 * time.Second)
 				dispatcher := newDispatcher(fleet)
 				dispatcher.Plan = func([]string) []dispatch.Bundle {
 					return []dispatch.Bundle{{Peer: "peer", Shards: []string{"s1", "s3"}}}
 				}
-				dispatcher.Ask = func(context.Context, *dispatch.Request, dispatch.Bundle) *dispatch.Gathered { return test.gathered }
+				dispatcher.Ask = func(ctx context.Context, _ *dispatch.Request, _ dispatch.Bundle, tell func(*dispatch.Gathered)) *dispatch.Gathered {
+					for _, gathered := range test.told {
+						tell(gathered)
+					}
+					if len(test.told) > 0 {
+						<-ctx.Done()
+					}
+					return test.last
+				}
+				started := time.Now()
 				answer := dispatcher.Serve(t.Context(), ask(gather(4, 0.75)))
 				qt.Assert(t, fleet.count("s1")+fleet.count("s3"), qt.Equals, test.direct)
+				if test.early {
+					qt.Assert(t, time.Since(started) <= 100*time.Millisecond, qt.IsTrue)
+				}
 				if test.verdict != 0 {
 					qt.Assert(t, answer.Failure.Verdict, qt.Equals, test.verdict)
 					return
@@ -354,6 +373,67 @@
 	}
 }
 
+func gathered(receipts ...string) *dispatch.Gathered {
+	return &dispatch.Gathered{Receipts: receipts, Records: make([]byte, 16*len(receipts))}
+}
+
+// Two peers that each leave out as many shards as the whole answer may miss fail
+// a request only if nothing more comes from them.
+func TestSlowPartsOfTwoBundles(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		dispatcher := newDispatcher(&fleet{})
+		dispatcher.Plan = func([]string) []dispatch.Bundle {
+			return []dispatch.Bundle{{Peer: "one", Shards: []string{"s0", "s1"}}, {Peer: "two", Shards: []string{"s2", "s3"}}}
+		}
+		dispatcher.Ask = func(_ context.Context, _ *dispatch.Request, bundle dispatch.Bundle, tell func(*dispatch.Gathered)) *dispatch.Gathered {
+			time.Sleep(20 * time.Millisecond)
+			tell(gathered(bundle.Peer + "a"))
+			time.Sleep(300 * time.Millisecond)
+			return gathered(bundle.Peer + "b")
+		}
+		answer := dispatcher.Serve(t.Context(), ask(gather(4, 0.75)))
+		qt.Assert(t, answer.Failure == nil, qt.IsTrue, qt.Commentf("%v", answer.Failure))
+		qt.Assert(t, answer.Missing <= 1, qt.IsTrue)
+		time.Sleep(time.Second)
+	})
+}
+
+// A host that gathers for another tells it what is in when the target is near,
+// then each part once as it comes, until it is withdrawn.
+func TestTell(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		fleet := &fleet{rule: func(id string, _ int) (time.Duration, *verdict.Failure) {
+			switch id[:2] {
+			case "s0":
+				return 200 * time.Millisecond, nil
+			case "s1":
+				return 300 * time.Millisecond, nil
+			case "s2":
+				return time.Hour, nil
+			}
+			return 5 * time.Millisecond, nil
+		}}
+		request := ask(gather(6, 0))
+		var told []string
+		var times []time.Duration
+		started := time.Now()
+		request.Tell = func(answer *dispatch.Answer) {
+			told = append(told, strings.Join(answer.Receipts, " "))
+			times = append(times, time.Since(started))
+		}
+		ctx, cancel := context.WithTimeout(t.Context(), 400*time.Millisecond)
+		defer cancel()
+		answer := newDispatcher(fleet).Serve(ctx, request)
+		qt.Assert(t, answer.Failure.Code, qt.Equals, verdict.CallerLeft)
+		qt.Assert(t, told, qt.HasLen, 3)
+		qt.Assert(t, strings.Count(told[0], " "), qt.Equals, 2)
+		qt.Assert(t, times[0] < 100*time.Millisecond, qt.IsTrue)
+		qt.Assert(t, times[1:], qt.DeepEquals, []time.Duration{200 * time.Millisecond, 300 * time.Millisecond})
+		synctest.Wait()
+		time.Sleep(time.Second)
+	})
+}
+
 // When hardly any request is in time, a part is refused at once as not run, and
 // nothing of it is sent.
 func TestRefusedForLoad(t *testing.T) {
--- a/dispatch/result.go
+++ b/dispatch/result.go
@@ -60,22 +60,26 @@
 	if run.good < run.request.Route.LeastParts() {
 		return run.failure()
 	}
-	gathered := &Answer{Missing: len(run.parts) - run.good}
+	return run.untold()
+}
+
+// untold returns the parts that are in and were not told to another host.
+func (run *run) untold() *Answer {
+	answered := &Answer{Missing: len(run.parts) - run.good}
 	bodies := make([][]byte, 0, run.good)
 	for _, part := range run.parts {
-		if part.reply != nil {
-			gathered.Receipts = append(gathered.Receipts, part.reply.Receipt)
+		if part.reply != nil && !part.told {
+			part.told = true
+			answered.Receipts = append(answered.Receipts, part.reply.Receipt)
 			bodies = append(bodies, part.reply.Answer.Body)
 		}
 	}
-	for _, bundle := range run.bundles {
-		if bundle.gathered != nil {
-			gathered.Receipts = append(gathered.Receipts, bundle.gathered.Receipts...)
-			bodies = append(bodies, bundle.gathered.Records)
-		}
+	for _, flight := range run.bundles {
+		answered.Receipts = append(answered.Receipts, flight.receipts...)
+		bodies = append(bodies, flight.records...)
 	}
-	gathered.Records = answer.TopRecords(bodies, run.request.Route.TopK)
-	return gathered
+	answered.Records = answer.TopRecords(bodies, run.request.Route.TopK)
+	return answered
 }
 
 // failure joins what is known of all tries: the request has not run only if
@@ -126,7 +130,7 @@
 		fields["missing"] = missing
 	}
 	outcome := "answered"
-	if run.request.Hop {
+	if run.request.hop() {
 		outcome = "answered a peer"
 	}
 	if answer.Failure != nil {
@@ -135,7 +139,7 @@
 		fields["code"] = string(answer.Failure.Code)
 		fields["detail"] = answer.Failure.Detail
 	}
-	if gone {
+	if gone && (!run.request.hop() || run.good == 0) {
 		outcome = "caller left"
 	}
 	run.observe(outcome, now)
--- a/dispatch/run.go
+++ b/dispatch/run.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"fescuehall/replica"
@@ -23,6 +24,9 @@
 	// lingerTime lets the losers of a part end, which keeps their connections.
 	// Longer than a new connection takes would keep slots from other work.
 	lingerTime = 10 * time.Millisecond
+	// tellEvery is the least time between two answers to a host that asks: its own
+	// answer is due hopMargin after the first, so that one more is of use by then.
+	tellEvery = 6 * time.Millisecond
 	// maxDials bounds the tries of one shard that reach no replica.
 	maxDials = 4
 )
@@ -43,6 +47,8 @@
 	failed *Reply
 	joined verdict.Verdict
 	over   bool
+	// told is set once another host was told of the reply.
+	told bool
 	// bundle is set while a peer gathers the part.
 	bundle *bundleFlight
 	// gathered is set when a peer's answer covers the part.
@@ -74,17 +80,22 @@
 	parts      []*part
 	landings   chan *flight
 	bundles    []*bundleFlight
-	bundled    chan *bundleFlight
+	bundled    chan bundleNews
 	ctx        context.Context
 	cancel     context.CancelFunc
-	cutAt      time.Time
-	good       int
-	open       int
-	inFlight   int
-	hedges     int
-	retries    int
-	cut        bool
-	inTime     bool
+	// bundling ends when peers need not go on.
+	bundling context.Context
+	withdraw context.CancelFunc
+	cutAt    time.Time
+	good     int
+	open     int
+	inFlight int
+	hedges   int
+	retries  int
+	cut      bool
+	inTime   bool
+	// toldAt is when the host that asks was told last.
+	toldAt time.Time
 	// far counts the shards asked in other failure domains, farIn those answers.
 	far   int
 	farIn int
@@ -99,11 +110,13 @@
 	}
 	run := &run{dispatcher: dispatcher, request: request, open: len(services)}
 	run.landings = make(chan *flight, len(services)*(request.Route.MaxTries+maxDials+1))
-	run.bundled = make(chan *bundleFlight, len(services))
+	// A peer answers at the target, with each part that comes, and at the end.
+	run.bundled = make(chan bundleNews, 3*len(services))
 	run.ctx, run.cancel = context.WithDeadline(context.Background(), request.Deadline.Add(-deadlineMargin))
+	run.bundling, run.withdraw = context.WithCancel(run.ctx)
 	if request.Route.Gathers() && request.Route.Target > 0 {
 		run.cutAt = request.Received.Add(request.Route.Target - answerMargin)
-		if request.Hop {
+		if request.hop() {
 			run.cutAt = run.cutAt.Add(-hopMargin)
 		}
 	}
@@ -219,6 +232,7 @@
 	timer := time.NewTimer(0)
 	defer timer.Stop()
 	for !run.settled(time.Now()) {
+		run.tell(time.Now())
 		timer.Reset(time.Until(run.wake()))
 		select {
 		case flight := <-run.landings:
@@ -242,6 +256,10 @@
 	if !run.cutAt.IsZero() && !now.Before(run.cutAt) {
 		run.checkReach()
 	}
+	if run.request.hop() {
+		// The host that asks withdraws the request when it has enough.
+		return false
+	}
 	least := run.request.Route.LeastParts()
 	if run.good+run.open < least {
 		return true
@@ -253,6 +271,28 @@
 	return true
 }
 
+// tell tells the host that asks of what came since it was told last. The first
+// time it is told in any case, as a sign of life.
+func (run *run) tell(now time.Time) {
+	if !run.request.hop() || run.cutAt.IsZero() || now.Before(run.tellAt()) {
+		return
+	}
+	answer := run.untold()
+	if len(answer.Receipts) > 0 || !run.cut {
+		run.request.Tell(answer)
+		run.toldAt = now
+	}
+	run.cut = true
+}
+
+// tellAt returns when the host that asks is next told.
+func (run *run) tellAt() time.Time {
+	if run.toldAt.IsZero() {
+		return run.cutAt
+	}
+	return run.toldAt.Add(tellEvery)
+}
+
 // leastFar is the least number of shards asked in other failure domains whose
 // silence counts.
 const leastFar = 3
@@ -284,6 +324,9 @@
 	if !run.cutAt.IsZero() && run.cutAt.Before(next) && time.Now().Before(run.cutAt) {
 		next = run.cutAt
 	}
+	if !run.toldAt.IsZero() && run.tellAt().Before(next) && run.hasUntold() {
+		next = run.tellAt()
+	}
 	for _, part := range run.parts {
 		if !part.ended() && !part.hedgeAt.IsZero() && part.hedgeAt.Before(next) {
 			next = part.hedgeAt
@@ -292,6 +335,10 @@
 	return next
 }
 
+func (run *run) hasUntold() bool {
+	return slices.ContainsFunc(run.parts, func(part *part) bool { return part.reply != nil && !part.told })
+}
+
 // land takes the end of a try.
 func (run *run) land(flight *flight) {
 	part := run.parts[flight.place]
@@ -390,7 +437,8 @@
 // close withdraws the tries that still run: at once when the caller has left,
 // and after a while otherwise.
 func (run *run) close(gone bool) {
-	if gone || run.inFlight == 0 {
+	run.withdraw()
+	if gone && !run.request.hop() || run.inFlight == 0 {
 		run.cancel()
 		return
 	}
--- a/link/client.go
+++ b/link/client.go
@@ -31,10 +31,21 @@
 	dialing  *dialAttempt
 	failedAt time.Time
 	dialErr  error
-	waiting  map[uint64]chan frame.Frame
+	waiting  map[uint64]*replies
 	nextID   uint64
 }
 
+// mostReplies is the most replies to one request that may wait to be taken; more
+// are dropped.
+const mostReplies = 64
+
+// replies is where the replies to one request go.
+type replies struct {
+	frames chan frame.Frame
+	// many is set when more than one reply is taken.
+	many bool
+}
+
 // dialAttempt is a dial that several calls wait for.
 type dialAttempt struct {
 	done chan struct{}
@@ -43,58 +54,77 @@
 // Call sends a request and waits for its reply. The error is a
 // *verdict.Failure: NotRun when no byte of the request can have left.
 func (client *Client) Call(ctx context.Context, kind frame.Type, body []byte) (frame.Frame, error) {
+	var reply frame.Frame
+	err := client.stream(ctx, kind, body, false, func(received frame.Frame) bool {
+		reply = received
+		return false
+	})
+	return reply, err
+}
+
+// Stream sends a request and hands on its replies until take returns false. The
+// error is as Call's.
+func (client *Client) Stream(ctx context.Context, kind frame.Type, body []byte, take func(reply frame.Frame) (more bool)) error {
+	return client.stream(ctx, kind, body, true, take)
+}
+
+func (client *Client) stream(ctx context.Context, kind frame.Type, body []byte, many bool, take func(frame.Frame) bool) error {
 	if err := ctx.Err(); err != nil {
-		return frame.Frame{}, verdict.New(verdict.NotRun, verdict.Cancelled, "before sending to %s: %v", client.Address, err)
+		return verdict.New(verdict.NotRun, verdict.Cancelled, "before sending to %s: %v", client.Address, err)
 	}
-	conn, id, replies, err := client.open(ctx)
+	conn, id, replies, err := client.open(ctx, many)
 	if err != nil {
-		return frame.Frame{}, verdict.New(verdict.NotRun, verdict.Unreachable, "host %s: %v", client.Address, err)
+		return verdict.New(verdict.NotRun, verdict.Unreachable, "host %s: %v", client.Address, err)
 	}
 	defer client.forget(id)
 	state := &sendState{}
 	sent := conn.send(ctx, outgoing{frame: frame.Frame{Type: kind, Correlation: id, Body: body}, started: state})
 	if !sent {
-		return frame.Frame{}, verdict.New(verdict.NotRun, verdict.Unreachable, "host %s: connection closed before sending", client.Address)
+		return verdict.New(verdict.NotRun, verdict.Unreachable, "host %s: connection closed before sending", client.Address)
 	}
-	select {
-	case reply := <-replies:
-		return reply, nil
-	case <-conn.done:
-		return client.lost(state, replies)
-	case <-ctx.Done():
-		return client.cancel(conn, state, id)
+	for {
+		select {
+		case reply := <-replies.frames:
+			if !take(reply) {
+				return nil
+			}
+		case <-conn.done:
+			return client.lost(state, replies, take)
+		case <-ctx.Done():
+			return client.cancel(conn, state, id)
+		}
 	}
 }
 
-// lost prefers a reply that was read before the connection ended.
-func (client *Client) lost(state *sendState, replies chan frame.Frame) (frame.Frame, error) {
-	select {
-	case reply := <-replies:
-		return reply, nil
-	default:
+// lost takes replies that were read before the connection ended.
+func (client *Client) lost(state *sendState, replies *replies, take func(frame.Frame) bool) error {
+	for len(replies.frames) > 0 {
+		if !take(<-replies.frames) {
+			return nil
+		}
 	}
 	if state.withdraw() {
-		return frame.Frame{}, verdict.New(verdict.NotRun, verdict.Unreachable, "host %s: connection closed before sending", client.Address)
+		return verdict.New(verdict.NotRun, verdict.Unreachable, "host %s: connection closed before sending", client.Address)
 	}
-	return frame.Frame{}, verdict.New(verdict.MayHaveRun, verdict.ConnectionLost, "host %s: connection closed before the reply", client.Address)
+	return verdict.New(verdict.MayHaveRun, verdict.ConnectionLost, "host %s: connection closed before the reply", client.Address)
 }
 
-func (client *Client) cancel(conn *Conn, state *sendState, id uint64) (frame.Frame, error) {
+func (client *Client) cancel(conn *Conn, state *sendState, id uint64) error {
 	if state.withdraw() {
-		return frame.Frame{}, verdict.New(verdict.NotRun, verdict.Cancelled, "withdrawn before sending to %s", client.Address)
+		return verdict.New(verdict.NotRun, verdict.Cancelled, "withdrawn before sending to %s", client.Address)
 	}
 	select {
 	case conn.out <- outgoing{frame: frame.Frame{Type: frame.Cancel, Correlation: id}}:
 	default:
 	}
-	return frame.Frame{}, verdict.New(verdict.MayHaveRun, verdict.Cancelled, "withdrawn after sending to %s", client.Address)
+	return verdict.New(verdict.MayHaveRun, verdict.Cancelled, "withdrawn after sending to %s", client.Address)
 }
 
 // open returns the connection, dialling if there is none, and a place for the
-// reply.
-func (client *Client) open(ctx context.Context) (*Conn, uint64, chan frame.Frame, error) {
+// replies.
+func (client *Client) open(ctx context.Context, many bool) (*Conn, uint64, *replies, error) {
 	for {
-		conn, id, replies, attempt, err := client.reserve()
+		conn, id, replies, attempt, err := client.reserve(many)
 		if conn != nil || err != nil {
 			return conn, id, replies, err
 		}
@@ -106,14 +136,17 @@
 	}
 }
 
-func (client *Client) reserve() (*Conn, uint64, chan frame.Frame, *dialAttempt, error) {
+func (client *Client) reserve(many bool) (*Conn, uint64, *replies, *dialAttempt, error) {
 	client.mu.Lock()
 	defer client.mu.Unlock()
 	if client.conn != nil && !client.conn.closed() {
 		client.nextID++
-		replies := make(chan frame.Frame, 1)
-		client.waiting[client.nextID] = replies
-		return client.conn, client.nextID, replies, nil, nil
+		made := &replies{frames: make(chan frame.Frame, 1), many: many}
+		if many {
+			made.frames = make(chan frame.Frame, mostReplies)
+		}
+		client.waiting[client.nextID] = made
+		return client.conn, client.nextID, made, nil, nil
 	}
 	if client.dialing == nil && time.Since(client.failedAt) < dialBackoff {
 		return nil, 0, nil, nil, client.dialErr
@@ -141,7 +174,7 @@
 		return
 	}
 	client.conn = newConn(netConn)
-	client.waiting = make(map[uint64]chan frame.Frame)
+	client.waiting = make(map[uint64]*replies)
 	go client.conn.read(client.deliver)
 }
 
@@ -149,11 +182,17 @@
 // dropped: its call has ended.
 func (client *Client) deliver(reply frame.Frame) {
 	client.mu.Lock()
-	replies := client.waiting[reply.Correlation]
-	delete(client.waiting, reply.Correlation)
+	waiting := client.waiting[reply.Correlation]
+	if waiting != nil && !waiting.many {
+		delete(client.waiting, reply.Correlation)
+	}
 	client.mu.Unlock()
-	if replies != nil {
-		replies <- reply
+	if waiting == nil {
+		return
+	}
+	select {
+	case waiting.frames <- reply:
+	default:
 	}
 }
 
--- a/message/message.go
+++ b/message/message.go
@@ -78,7 +78,8 @@
 	Version uint64 `json:"Version"`
 }
 
-// GatherReply is a peer's answer to a GatherRequest, a success when Code is empty.
+// GatherReply is one of a peer's answers to a GatherRequest, each with what is
+// new, a success when Code is empty.
 type GatherReply struct {
 	// Code of a failure.
 	Code string `json:"Code"`
@@ -86,10 +87,13 @@
 	// Detail of a failure.
 	Detail string `json:"Detail"`
 
-	// Receipts of the parts that are in.
+	// Set when another answer follows.
+	More bool `json:"More"`
+
+	// Receipts of the parts that are in and were not told of before.
 	Receipts []string `json:"Receipts"`
 
-	// Greatest records, falling.
+	// Greatest records of these parts, falling.
 	Records []byte `json:"Records"`
 
 	// Identity of the caller's attempt.
@@ -114,9 +118,6 @@
 	// HTTP host.
 	Host string `json:"Host"`
 
-	// Least share of shards, 0 to 1, to answer with at the target.
-	LeastShare float64 `json:"LeastShare"`
-
 	// Time until the request is given up.
 	LeftMicros int64 `json:"LeftMicros"`
 
--- a/message/message_gen.go
+++ b/message/message_gen.go
@@ -584,13 +584,16 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *GatherReply) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 6
+	// map header, size 7
 	// string "Code"
-	o = append(o, 0x86, 0xa4, 0x43, 0x6f, 0x64, 0x65)
+	o = append(o, 0x87, 0xa4, 0x43, 0x6f, 0x64, 0x65)
 	o = msgp.AppendString(o, z.Code)
 	// string "Detail"
 	o = append(o, 0xa6, 0x44, 0x65, 0x74, 0x61, 0x69, 0x6c)
 	o = msgp.AppendString(o, z.Detail)
+	// string "More"
+	o = append(o, 0xa4, 0x4d, 0x6f, 0x72, 0x65)
+	o = msgp.AppendBool(o, z.More)
 	// string "Receipts"
 	o = append(o, 0xa8, 0x52, 0x65, 0x63, 0x65, 0x69, 0x70, 0x74, 0x73)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Receipts)))
@@ -639,6 +642,12 @@
 				err = msgp.WrapError(err, "Detail")
 				return
 			}
+		case "More":
+			z.More, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "More")
+				return
+			}
 		case "Receipts":
 			var zb0002 uint32
 			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
@@ -690,7 +699,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *GatherReply) Msgsize() (s int) {
-	s = 1 + 5 + msgp.StringPrefixSize + len(z.Code) + 7 + msgp.StringPrefixSize + len(z.Detail) + 9 + msgp.ArrayHeaderSize
+	s = 1 + 5 + msgp.StringPrefixSize + len(z.Code) + 7 + msgp.StringPrefixSize + len(z.Detail) + 5 + msgp.BoolSize + 9 + msgp.ArrayHeaderSize
 	for za0001 := range z.Receipts {
 		s += msgp.StringPrefixSize + len(z.Receipts[za0001])
 	}
@@ -701,9 +710,9 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *GatherRequest) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 15
+	// map header, size 14
 	// string "Body"
-	o = append(o, 0x8f, 0xa4, 0x42, 0x6f, 0x64, 0x79)
+	o = append(o, 0x8e, 0xa4, 0x42, 0x6f, 0x64, 0x79)
 	o = msgp.AppendBytes(o, z.Body)
 	// string "ElapsedMicros"
 	o = append(o, 0xad, 0x45, 0x6c, 0x61, 0x70, 0x73, 0x65, 0x64, 0x4d, 0x69, 0x63, 0x72, 0x6f, 0x73)
@@ -723,9 +732,6 @@
 	// string "Host"
 	o = append(o, 0xa4, 0x48, 0x6f, 0x73, 0x74)
 	o = msgp.AppendString(o, z.Host)
-	// string "LeastShare"
-	o = append(o, 0xaa, 0x4c, 0x65, 0x61, 0x73, 0x74, 0x53, 0x68, 0x61, 0x72, 0x65)
-	o = msgp.AppendFloat64(o, z.LeastShare)
 	// string "LeftMicros"
 	o = append(o, 0xaa, 0x4c, 0x65, 0x66, 0x74, 0x4d, 0x69, 0x63, 0x72, 0x6f, 0x73)
 	o = msgp.AppendInt64(o, z.LeftMicros)
@@ -846,12 +852,6 @@
 				err = msgp.WrapError(err, "Host")
 				return
 			}
-		case "LeastShare":
-			z.LeastShare, bts, err = msgp.ReadFloat64Bytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "LeastShare")
-				return
-			}
 		case "LeftMicros":
 			z.LeftMicros, bts, err = msgp.ReadInt64Bytes(bts)
 			if err != nil {
@@ -943,7 +943,7 @@
 	for za0001 := range z.Header {
 		s += 1 + 5 + msgp.StringPrefixSize + len(z.Header[za0001].Name) + 6 + msgp.StringPrefixSize + len(z.Header[za0001].Value)
 	}
-	s += 5 + msgp.StringPrefixSize + len(z.Host) + 11 + msgp.Float64Size + 11 + msgp.Int64Size + 9 + msgp.IntSize + 7 + msgp.StringPrefixSize + len(z.Method) + 5 + msgp.IntSize + 10 + msgp.StringPrefixSize + len(z.RequestID) + 6 + msgp.StringPrefixSize + len(z.Route) + 7 + msgp.ArrayHeaderSize
+	s += 5 + msgp.StringPrefixSize + len(z.Host) + 11 + msgp.Int64Size + 9 + msgp.IntSize + 7 + msgp.StringPrefixSize + len(z.Method) + 5 + msgp.IntSize + 10 + msgp.StringPrefixSize + len(z.RequestID) + 6 + msgp.StringPrefixSize + len(z.Route) + 7 + msgp.ArrayHeaderSize
 	for za0002 := range z.Shards {
 		s += msgp.StringPrefixSize + len(z.Shards[za0002])
 	}
--- a/peer/delegator.go
+++ b/peer/delegator.go
@@ -16,7 +16,6 @@
 	"fescuehall/route"
 	"fescuehall/shard"
 	"fescuehall/suspect"
-	"fescuehall/verdict"
 )
 
 const (
@@ -48,8 +47,9 @@
 	Replicas func(service string) []roster.Replica
 	// Ejected reports whether a replica is out of use for now.
 	Ejected func(id string) bool
-	// Call sends a request to a peer. Errors are *verdict.Failure.
-	Call func(ctx context.Context, peer shard.Host, request *message.GatherRequest) (*message.GatherReply, error)
+	// Call sends a request to a peer and hands on its answers until take returns
+	// false. Errors are *verdict.Failure.
+	Call func(ctx context.Context, peer shard.Host, request *message.GatherRequest, take func(*message.GatherReply) (more bool)) error
 	// Picker chooses among peers, by their names.
 	Picker *replica.Picker
 	// Suspects records which peers are silent.
@@ -160,48 +160,6 @@
 	return best, covered
 }
 
-// Ask lets a peer gather a bundle.
-func (delegator *Delegator) Ask(ctx context.Context, request *dispatch.Request, bundle dispatch.Bundle) *dispatch.Gathered {
-	started := time.Now()
-	bounded, cancel := context.WithDeadline(ctx, overdue(request))
-	defer cancel()
-	reply, failure := delegator.exchange(bounded, request, bundle, started)
-	took := time.Since(started)
-	if failure == nil {
-		delegator.Picker.Done(bundle.Peer, replica.Result{Took: took})
-		delegator.Suspects.Timely(bundle.Peer)
-		return &dispatch.Gathered{Receipts: reply.Receipts, Records: reply.Records}
-	}
-	withdrawn := ctx.Err() != nil
-	if !withdrawn || took >= request.Route.Target {
-		delegator.Suspects.Late(bundle.Peer)
-	}
-	delegator.Picker.Done(bundle.Peer, replica.Result{Took: took, Failed: !withdrawn, Lost: !withdrawn, Cancelled: withdrawn})
-	if !withdrawn {
-		delegator.Event("peer failed", logbook.Fields{"id": request.ID, "peer": bundle.Peer, "shards": len(bundle.Shards), "took_ms": took.Milliseconds(), "verdict": failure.Verdict.String(), "detail": failure.Detail})
-	}
-	return &dispatch.Gathered{Failure: failure}
-}
-
-func (delegator *Delegator) exchange(ctx context.Context, request *dispatch.Request, bundle dispatch.Bundle, now time.Time) (*message.GatherReply, *verdict.Failure) {
-	peers := delegator.Peers()
-	place := slices.IndexFunc(peers, func(peer shard.Host) bool { return peer.Name == bundle.Peer })
-	if place < 0 {
-		return nil, verdict.New(verdict.NotRun, verdict.Unreachable, "host %s has left", bundle.Peer)
-	}
-	reply, err := delegator.Call(ctx, peers[place], encode(request, bundle, now))
-	if err != nil {
-		return nil, verdict.Of(err)
-	}
-	if reply.RequestID != request.ID {
-		return nil, verdict.New(verdict.MayHaveRun, verdict.ReplyMismatch, "host %s answered request %q", bundle.Peer, reply.RequestID)
-	}
-	if reply.Code != "" {
-		return nil, verdict.New(verdict.Verdict(reply.Verdict), verdict.Code(reply.Code), "host %s: %s", bundle.Peer, reply.Detail)
-	}
-	return reply, nil
-}
-
 // overdue is when a peer that works has answered.
 func overdue(request *dispatch.Request) time.Time {
 	late := request.Received.Add(silenceTargets*request.Route.Target + silenceTime)
@@ -211,13 +169,6 @@
 	return request.Deadline
 }
 
-// leastShare is the least share of a bundle: it may miss as many shards as the
-// whole answer may.
-func leastShare(asked *route.Route, bundled int) float64 {
-	mayMiss := len(asked.Shards) - asked.LeastParts()
-	return float64(max(0, bundled-mayMiss)) / float64(bundled)
-}
-
 func encode(request *dispatch.Request, bundle dispatch.Bundle, now time.Time) *message.GatherRequest {
 	asked := request.Route
 	made := &message.GatherRequest{
@@ -226,7 +177,6 @@
 		Rank:          asked.Rank,
 		Shards:        bundle.Shards,
 		TopK:          asked.TopK,
-		LeastShare:    leastShare(asked, len(bundle.Shards)),
 		MaxTries:      asked.MaxTries,
 		TargetMicros:  asked.Target.Microseconds(),
 		Method:        request.Content.Method,
@@ -244,14 +194,16 @@
 	return made
 }
 
-// Answer gathers a bundle for a peer.
-func (delegator *Delegator) Answer(ctx context.Context, asked *message.GatherRequest) *message.GatherReply {
+// Answer gathers a bundle for a peer. It answers with what is in when the target
+// is near, and afterwards with each part that comes, until the peer withdraws
+// the bundle.
+func (delegator *Delegator) Answer(ctx context.Context, asked *message.GatherRequest, reply func(*message.GatherReply)) {
 	now := time.Now()
 	header := make(http.Header, len(asked.Header))
 	for _, field := range asked.Header {
 		header[field.Name] = append(header[field.Name], field.Value)
 	}
-	answer := delegator.Dispatcher.Serve(ctx, &dispatch.Request{
+	last := delegator.Dispatcher.Serve(ctx, &dispatch.Request{
 		ID: asked.RequestID,
 		Route: &route.Route{
 			Name:       asked.Route,
@@ -261,18 +213,22 @@
 			Rank:       asked.Rank,
 			Shards:     asked.Shards,
 			TopK:       asked.TopK,
-			LeastShare: asked.LeastShare,
 		},
 		Received: now.Add(-time.Duration(asked.ElapsedMicros) * time.Microsecond),
 		Deadline: now.Add(time.Duration(asked.LeftMicros) * time.Microsecond),
-		Hop:      true,
-		Content:  &exchange.Request{Method: asked.Method, Host: asked.Host, Target: asked.Target, Header: header, Body: asked.Body},
+		Tell: func(answer *dispatch.Answer) {
+			reply(&message.GatherReply{RequestID: asked.RequestID, Receipts: answer.Receipts, Records: answer.Records, More: true})
+		},
+		Content: &exchange.Request{Method: asked.Method, Host: asked.Host, Target: asked.Target, Header: header, Body: asked.Body},
 	})
-	reply := &message.GatherReply{RequestID: asked.RequestID, Receipts: answer.Receipts, Records: answer.Records}
-	if answer.Failure != nil {
-		reply.Verdict = int(answer.Failure.Verdict)
-		reply.Code = string(answer.Failure.Code)
-		reply.Detail = answer.Failure.Detail
+	if ctx.Err() != nil {
+		return
+	}
+	final := &message.GatherReply{RequestID: asked.RequestID, Receipts: last.Receipts, Records: last.Records}
+	if last.Failure != nil {
+		final.Verdict = int(last.Failure.Verdict)
+		final.Code = string(last.Failure.Code)
+		final.Detail = last.Failure.Detail
 	}
-	return reply
+	reply(final)
 }
--- a/peer/frames.go
+++ b/peer/frames.go
@@ -15,8 +15,8 @@
 
 // Wire carries messages between entry hosts. Set the fields before use.
 type Wire struct {
-	// Gather gathers a bundle for a peer.
-	Gather func(ctx context.Context, asked *message.GatherRequest) *message.GatherReply
+	// Gather gathers a bundle for a peer and answers it once or more.
+	Gather func(ctx context.Context, asked *message.GatherRequest, answer func(*message.GatherReply))
 	// News tells a peer what this host read from the store.
 	News func(asked *message.FeedFetch) *message.FeedNews
 	// Event is told of frames that are dropped.
@@ -51,10 +51,26 @@
 	return nil
 }
 
-// AskGather lets a peer gather a bundle.
-func (wire *Wire) AskGather(ctx context.Context, to shard.Host, request *message.GatherRequest) (*message.GatherReply, error) {
-	reply := &message.GatherReply{}
-	return reply, wire.call(ctx, to, frame.GatherRequest, request, reply)
+// AskGather lets a peer gather a bundle and hands on its answers, until take
+// returns false.
+func (wire *Wire) AskGather(ctx context.Context, to shard.Host, request *message.GatherRequest, take func(*message.GatherReply) (more bool)) error {
+	body, err := request.MarshalMsg(nil)
+	if err != nil {
+		return verdict.New(verdict.NotRun, verdict.BadRequest, "message to host %s: %v", to.Name, err)
+	}
+	var unreadable error
+	err = wire.link(to.Address).Stream(ctx, frame.GatherRequest, body, func(received frame.Frame) bool {
+		reply := &message.GatherReply{}
+		if _, err := reply.UnmarshalMsg(received.Body); err != nil {
+			unreadable = verdict.New(verdict.MayHaveRun, verdict.ReplyMismatch, "host %s: %v", to.Name, err)
+			return false
+		}
+		return take(reply)
+	})
+	if err != nil {
+		return err
+	}
+	return unreadable
 }
 
 // AskNews asks a peer for what it read from the store.
@@ -79,31 +95,33 @@
 
 // Handle answers a peer's frame, for link.Server.
 func (wire *Wire) Handle(ctx context.Context, received frame.Frame, reply link.Reply) {
-	if received.Type == frame.Probe {
-		reply(frame.ProbeReply, nil)
-		return
-	}
-	var kind frame.Type
-	var answer encoder
-	var err error
 	switch received.Type {
+	case frame.Probe:
+		reply(frame.ProbeReply, nil)
 	case frame.GatherRequest:
 		asked := &message.GatherRequest{}
-		if _, err = asked.UnmarshalMsg(received.Body); err == nil {
-			kind, answer = frame.GatherReply, wire.Gather(ctx, asked)
+		if _, err := asked.UnmarshalMsg(received.Body); err != nil {
+			wire.dropped(err)
+			return
 		}
+		wire.Gather(ctx, asked, func(answer *message.GatherReply) { wire.answer(reply, frame.GatherReply, answer) })
 	case frame.FeedFetch:
 		asked := &message.FeedFetch{}
-		if _, err = asked.UnmarshalMsg(received.Body); err == nil {
-			kind, answer = frame.FeedNews, wire.News(asked)
+		if _, err := asked.UnmarshalMsg(received.Body); err != nil {
+			wire.dropped(err)
+			return
 		}
+		wire.answer(reply, frame.FeedNews, wire.News(asked))
 	default:
-		err = fmt.Errorf("frame type %d is not served", received.Type)
-	}
-	if err != nil {
-		wire.Event("dropped a frame", logbook.Fields{"error": err.Error()})
-		return
+		wire.dropped(fmt.Errorf("frame type %d is not served", received.Type))
 	}
+}
+
+func (wire *Wire) dropped(err error) {
+	wire.Event("dropped a frame", logbook.Fields{"error": err.Error()})
+}
+
+func (wire *Wire) answer(reply link.Reply, kind frame.Type, answer encoder) {
 	body, err := answer.MarshalMsg(nil)
 	if err != nil {
 		wire.Event("dropped a reply", logbook.Fields{"error": err.Error()})
--- a/peer/peer_test.go
+++ b/peer/peer_test.go
@@ -128,36 +128,46 @@
 func TestAsk(t *testing.T) {
 	tests := []struct {
 		name    string
-		call    func(ctx context.Context) (*message.GatherReply, error)
+		call    func(ctx context.Context, take func(*message.GatherReply) bool) error
+		told    int
 		verdict verdict.Verdict
 		ejected bool
 	}{
-		{name: "answers", call: func(context.Context) (*message.GatherReply, error) {
-			return &message.GatherReply{RequestID: "r", Receipts: []string{"x"}}, nil
+		{name: "answers", call: func(_ context.Context, take func(*message.GatherReply) bool) error {
+			take(&message.GatherReply{RequestID: "r", Receipts: []string{"x"}})
+			return nil
 		}},
-		{name: "is down", call: func(context.Context) (*message.GatherReply, error) {
-			return nil, verdict.New(verdict.NotRun, verdict.Unreachable, "test")
+		{name: "answers in parts", call: func(_ context.Context, take func(*message.GatherReply) bool) error {
+			for _, receipt := range []string{"a", "b"} {
+				take(&message.GatherReply{RequestID: "r", Receipts: []string{receipt}, More: true})
+			}
+			take(&message.GatherReply{RequestID: "r", Receipts: []string{"x"}})
+			return nil
+		}, told: 2},
+		{name: "is down", call: func(context.Context, func(*message.GatherReply) bool) error {
+			return verdict.New(verdict.NotRun, verdict.Unreachable, "test")
 		}, verdict: verdict.NotRun, ejected: true},
-		{name: "is silent", call: func(ctx context.Context) (*message.GatherReply, error) {
+		{name: "is silent", call: func(ctx context.Context, _ func(*message.GatherReply) bool) error {
 			<-ctx.Done()
-			return nil, verdict.New(verdict.MayHaveRun, verdict.Cancelled, "test")
+			return verdict.New(verdict.MayHaveRun, verdict.Cancelled, "test")
 		}, verdict: verdict.MayHaveRun, ejected: true},
-		{name: "answers another request", call: func(context.Context) (*message.GatherReply, error) {
-			return &message.GatherReply{RequestID: "other", Receipts: []string{"x"}}, nil
+		{name: "answers another request", call: func(_ context.Context, take func(*message.GatherReply) bool) error {
+			take(&message.GatherReply{RequestID: "other", Receipts: []string{"x"}})
+			return nil
 		}, verdict: verdict.MayHaveRun, ejected: true},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				delegator := newDelegator(peers(2))
-				delegator.Call = func(ctx context.Context, _ shard.Host, asked *message.GatherRequest) (*message.GatherReply, error) {
+				delegator.Call = func(ctx context.Context, _ shard.Host, asked *message.GatherRequest, take func(*message.GatherReply) bool) error {
 					qt.Check(t, asked.Shards, qt.HasLen, 7)
-					// Two of 20 may be missing, and so two of these seven.
-					qt.Check(t, asked.LeastShare, qt.Equals, 5.0/7)
-					return test.call(ctx)
+					return test.call(ctx, take)
 				}
 				started := time.Now()
-				gathered := delegator.Ask(t.Context(), request(), dispatch.Bundle{Peer: "h2-0", Shards: shards(7)})
+				told := 0
+				gathered := delegator.Ask(t.Context(), request(), dispatch.Bundle{Peer: "h2-0", Shards: shards(7)}, func(*dispatch.Gathered) { told++ })
+				qt.Assert(t, told, qt.Equals, test.told)
 				qt.Assert(t, time.Since(started) <= 450*time.Millisecond, qt.IsTrue)
 				qt.Assert(t, gathered.Failure != nil, qt.Equals, test.verdict != 0)
 				if gathered.Failure != nil {
@@ -190,12 +200,13 @@
 		}
 		delegator.Dispatcher.SetExtra(0.2, 10)
 		var asked *message.GatherRequest
-		delegator.Call = func(_ context.Context, _ shard.Host, request *message.GatherRequest) (*message.GatherReply, error) {
+		delegator.Call = func(_ context.Context, _ shard.Host, request *message.GatherRequest, take func(*message.GatherReply) bool) error {
 			asked = request
-			return delegator.Answer(t.Context(), request), nil
+			delegator.Answer(t.Context(), request, func(reply *message.GatherReply) { take(reply) })
+			return nil
 		}
 		delegator.Peers = func() []shard.Host { return peers(1) }
-		gathered := delegator.Ask(t.Context(), request(), dispatch.Bundle{Peer: "h1-0", Shards: shards(3)})
+		gathered := delegator.Ask(t.Context(), request(), dispatch.Bundle{Peer: "h1-0", Shards: shards(3)}, func(*dispatch.Gathered) {})
 		qt.Assert(t, gathered.Failure == nil, qt.IsTrue)
 		qt.Assert(t, gathered.Receipts, qt.DeepEquals, shards(3))
 		qt.Assert(t, asked.LeftMicros, qt.Equals, int64(1_000_000))
@@ -227,8 +238,9 @@
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	qt.Assert(t, err, qt.IsNil)
 	answering := &peer.Wire{
-		Gather: func(_ context.Context, asked *message.GatherRequest) *message.GatherReply {
-			return &message.GatherReply{RequestID: asked.RequestID, Receipts: asked.Shards}
+		Gather: func(_ context.Context, asked *message.GatherRequest, answer func(*message.GatherReply)) {
+			answer(&message.GatherReply{RequestID: asked.RequestID, More: true})
+			answer(&message.GatherReply{RequestID: asked.RequestID, Receipts: asked.Shards})
 		},
 		News: func(asked *message.FeedFetch) *message.FeedNews {
 			return &message.FeedNews{Version: asked.Version + 1}
@@ -239,9 +251,14 @@
 	go func() { ended <- server.Run(listener) }()
 	asking := &peer.Wire{}
 	to := shard.Host{Name: "h1", Address: listener.Addr().String()}
-	reply, err := asking.AskGather(t.Context(), to, &message.GatherRequest{RequestID: "r", Shards: []string{"s1"}})
-	qt.Assert(t, err, qt.IsNil)
-	qt.Assert(t, reply.Receipts, qt.DeepEquals, []string{"s1"})
+	var replies []*message.GatherReply
+	take := func(reply *message.GatherReply) bool {
+		replies = append(replies, reply)
+		return reply.More
+	}
+	qt.Assert(t, asking.AskGather(t.Context(), to, &message.GatherRequest{RequestID: "r", Shards: []string{"s1"}}, take), qt.IsNil)
+	qt.Assert(t, replies, qt.HasLen, 2)
+	qt.Assert(t, replies[1].Receipts, qt.DeepEquals, []string{"s1"})
 	news, err := asking.AskNews(t.Context(), to, &message.FeedFetch{Version: 7})
 	qt.Assert(t, err, qt.IsNil)
 	qt.Assert(t, news.Version, qt.Equals, uint64(8))
@@ -249,6 +266,6 @@
 	listener.Close()
 	<-ended
 	other := &peer.Wire{}
-	_, err = other.AskGather(t.Context(), to, &message.GatherRequest{})
+	err = other.AskGather(t.Context(), to, &message.GatherRequest{}, take)
 	qt.Assert(t, verdict.Of(err).Verdict, qt.Equals, verdict.NotRun)
 }
