caller: answer in time for the caller's measured round trip

Cause: an answer was due 14 ms before its target for every caller. Peers are told when the asking host answers.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -34,6 +34,9 @@
 	Received time.Time
 	// Deadline is when the caller or the route gives it up.
 	Deadline time.Time
+	// Ways is the time that the request and its answer spend between the caller
+	// and this host, 0 when it is not known.
+	Ways time.Duration
 	// Tell is set when another host asks for its caller. It is told of what is in
 	// when the target is near, and afterwards of each part that comes. Serve then
 	// returns what was not told.
@@ -45,6 +48,21 @@
 	return request.Tell != nil
 }
 
+// AnswerIn returns the time after Received in which an answer is of full use, 0
+// when the route has no target.
+func (request *Request) AnswerIn() time.Duration {
+	target := request.Route.Target
+	switch {
+	case target == 0:
+		return 0
+	case request.hop():
+		return target - hopMargin
+	case request.Ways == 0:
+		return target - usualWays
+	}
+	return target - min(request.Ways+waySlack, target/2)
+}
+
 // Bundle is some shards of a request that one peer gathers: one message each
 // way, where each shard's own would cross failure domains.
 type Bundle struct {
--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -465,3 +465,33 @@
 		qt.Assert(t, fleet.count("s0"), qt.Equals, asked-refused)
 	})
 }
+
+// An answer is due at the target less the ways between the caller and this host,
+// and earlier where another host passes it on.
+func TestAnswerIn(t *testing.T) {
+	const target = 100 * time.Millisecond
+	hop := func(*dispatch.Answer) {}
+	tests := []struct {
+		name   string
+		target time.Duration
+		ways   time.Duration
+		tell   func(*dispatch.Answer)
+		want   time.Duration
+	}{
+		{name: "no target", want: 0},
+		{name: "ways unknown", target: target, want: 86 * time.Millisecond},
+		{name: "short ways", target: target, ways: 2 * time.Millisecond, want: 90 * time.Millisecond},
+		{name: "long ways", target: target, ways: 20 * time.Millisecond, want: 72 * time.Millisecond},
+		{name: "ways that leave no time", target: target, ways: time.Second, want: 50 * time.Millisecond},
+		{name: "for another host", target: target, tell: hop, want: 90 * time.Millisecond},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			request := ask(gather(4, 0.5))
+			route := *request.Route
+			route.Target = test.target
+			request.Route, request.Ways, request.Tell = &route, test.ways, test.tell
+			qt.Assert(t, request.AnswerIn(), qt.Equals, test.want)
+		})
+	}
+}
--- a/dispatch/result.go
+++ b/dispatch/result.go
@@ -122,6 +122,7 @@
 		"hedges":  run.hedges,
 		"retries": run.retries,
 		"cut":     run.cut,
+		"ways_ms": float64(run.request.Ways.Microseconds()) / 1000,
 	}
 	for _, bundle := range run.bundles {
 		fields["peer_"+bundle.bundle.Peer] = bundle.summary()
--- a/dispatch/run.go
+++ b/dispatch/run.go
@@ -11,11 +11,15 @@
 )
 
 const (
-	// answerMargin is kept of a target for the ways between the caller and this
-	// host, a new connection included.
-	answerMargin = 14 * time.Millisecond
-	// hopMargin is kept besides for the way through another host, and for the
-	// small ones that have several answers to merge at once.
+	// usualWays is kept of a target for the ways between the caller and this host,
+	// a new connection included, where they are not measured.
+	usualWays = 14 * time.Millisecond
+	// waySlack is kept besides measured ways, for reading the request, merging and
+	// sending the answer, some kilobytes over a small host's link, and timers that
+	// are late.
+	waySlack = 8 * time.Millisecond
+	// hopMargin is how long before another host's answer it is told what is in, so
+	// that small ones, which have several answers to merge at once, can.
 	hopMargin = 10 * time.Millisecond
 	// cutSlack is how late a timer may be.
 	cutSlack = 5 * time.Millisecond
@@ -115,10 +119,7 @@
 	run.ctx, run.cancel = context.WithDeadline(context.Background(), request.Deadline.Add(-deadlineMargin))
 	run.bundling, run.withdraw = context.WithCancel(run.ctx)
 	if request.Route.Gathers() && request.Route.Target > 0 {
-		run.cutAt = request.Received.Add(request.Route.Target - answerMargin)
-		if request.hop() {
-			run.cutAt = run.cutAt.Add(-hopMargin)
-		}
+		run.cutAt = request.Received.Add(request.AnswerIn())
 	}
 	for _, service := range services {
 		run.parts = append(run.parts, &part{service: service, tried: make(map[string]bool)})
@@ -129,8 +130,10 @@
 // beforeTarget reports whether an answer sent now is of full use. An answer
 // that was cut at the target is.
 func (run *run) beforeTarget(now time.Time) bool {
-	target := run.request.Route.Target
-	return target == 0 || run.cut && now.Before(run.cutAt.Add(cutSlack)) || now.Before(run.request.Received.Add(target-answerMargin))
+	if run.request.Route.Target == 0 {
+		return true
+	}
+	return run.cut && now.Before(run.cutAt.Add(cutSlack)) || now.Before(run.request.Received.Add(run.request.AnswerIn()))
 }
 
 func (run *run) startAll() {
--- a/peer/delegator.go
+++ b/peer/delegator.go
@@ -178,7 +178,7 @@
 		Shards:        bundle.Shards,
 		TopK:          asked.TopK,
 		MaxTries:      asked.MaxTries,
-		TargetMicros:  asked.Target.Microseconds(),
+		TargetMicros:  request.AnswerIn().Microseconds(),
 		Method:        request.Content.Method,
 		Host:          request.Content.Host,
 		Target:        request.Content.Target,
