--- a/command/check.go
+++ b/command/check.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"os"
 
+	"fescuehall/platform"
 	"fescuehall/schema"
 	"fescuehall/service"
 	"fescuehall/setting"
@@ -16,12 +17,13 @@
 type check struct {
 	Settings      []string `type:"existingfile" help:"Settings files of entry hosts."`
 	Configuration []string `type:"existingfile" help:"Configuration files."`
+	Platform      []string `type:"existingfile" help:"Settings files as the platform writes them."`
 }
 
 // Run prints every problem of every file.
 func (check *check) Run() error {
-	if len(check.Settings)+len(check.Configuration) == 0 {
-		return &ExitError{Code: ExitUsage, Detail: "give --settings or --configuration"}
+	if len(check.Settings)+len(check.Configuration)+len(check.Platform) == 0 {
+		return &ExitError{Code: ExitUsage, Detail: "give --settings, --configuration or --platform"}
 	}
 	bad := 0
 	for _, file := range check.Settings {
@@ -36,6 +38,14 @@
 			return problems
 		})
 	}
+	for _, file := range check.Platform {
+		if _, err := platform.LoadSettings(file); err != nil {
+			fmt.Println(err)
+			bad++
+			continue
+		}
+		fmt.Printf("%s: good\n", file)
+	}
 	if bad > 0 {
 		return &ExitError{Code: ExitRefused, Detail: fmt.Sprintf("%d problems", bad)}
 	}
--- a/command/front.go
+++ b/command/front.go
@@ -33,6 +33,7 @@
 	if err != nil {
 		return err
 	}
+	log.Host = settings.Host
 	ctx, cancel := interrupted()
 	defer cancel()
 	reload := make(chan os.Signal, 1)
--- a/command/status.go
+++ b/command/status.go
@@ -10,7 +10,6 @@
 
 func init() {
 	register("status", "Show what an entry host believes.", &status{})
-	register("explain", "Show the decision lines of a request on an entry host.", &explain{})
 }
 
 type status struct {
@@ -50,23 +49,3 @@
 	}
 	return table.Flush()
 }
-
-type explain struct {
-	Target
-	Request string `arg:"" help:"Identity of the request."`
-}
-
-// Run prints the request's decision lines.
-func (explain *explain) Run() error {
-	var lines []string
-	if err := explain.get("/v1/explain/"+explain.Request, &lines); err != nil {
-		return err
-	}
-	if len(lines) == 0 {
-		return fmt.Errorf("host %s has no line about request %q", explain.Host, explain.Request)
-	}
-	for _, line := range lines {
-		fmt.Println(line)
-	}
-	return nil
-}
--- a/logbook/event_test.go
+++ b/logbook/event_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"strings"
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 
@@ -50,3 +51,31 @@
 	}
 	qt.Assert(t, counts, qt.Equals, 1)
 }
+
+// More lines in a second than the bound are dropped and told of, whoever reads.
+func TestLinesAreBounded(t *testing.T) {
+	now := time.Unix(1000, 0)
+	var read bytes.Buffer
+	queue := logbook.NewQueue(&read)
+	queue.Now = func() time.Time { return now }
+	const lines, most = 5000, 2000
+	for range lines {
+		_, err := queue.Write([]byte("{}\n"))
+		qt.Assert(t, err, qt.IsNil)
+	}
+	now = now.Add(time.Second)
+	_, err := queue.Write([]byte("{\"next\":1}\n"))
+	qt.Assert(t, err, qt.IsNil)
+	queue.Close()
+	kept, told := 0, queue.Dropped()
+	for line := range strings.Lines(read.String()) {
+		var fields struct{ Count int64 }
+		qt.Assert(t, json.Unmarshal([]byte(line), &fields), qt.IsNil)
+		told += fields.Count
+		if line == "{}\n" {
+			kept++
+		}
+	}
+	qt.Assert(t, kept <= most, qt.IsTrue)
+	qt.Assert(t, kept+int(told) >= lines, qt.IsTrue, qt.Commentf("%d kept, %d told of", kept, told))
+}
--- a/logbook/logbook.go
+++ b/logbook/logbook.go
@@ -14,8 +14,14 @@
 // keptLines is how many decision lines are kept in memory.
 const keptLines = 8192
 
+// timeFormat tells milliseconds, which order the lines of several hosts.
+const timeFormat = "2006-01-02T15:04:05.000Z07:00"
+
 // Logbook is the log of one process.
 type Logbook struct {
+	// Host is named in the lines of events; set it before use.
+	Host string
+
 	logger *logrus.Logger
 
 	mu    sync.Mutex
@@ -34,7 +40,7 @@
 	logger.SetOutput(out)
 	logger.SetLevel(parsed)
 	if format == "json" {
-		logger.SetFormatter(&logrus.JSONFormatter{})
+		logger.SetFormatter(&logrus.JSONFormatter{TimestampFormat: timeFormat})
 	}
 	return &Logbook{logger: logger}, nil
 }
