--- a/dispatch/result.go
+++ b/dispatch/result.go
@@ -131,16 +131,18 @@
 		fields["missing"] = missing
 	}
 	outcome := "answered"
+	// A host that has enough withdraws what it asked a peer.
+	withdrawn := gone && run.request.hop() && run.good > 0
 	if run.request.hop() {
 		outcome = "answered a peer"
 	}
-	if answer.Failure != nil {
+	if answer.Failure != nil && !withdrawn {
 		outcome = "failed"
 		fields["verdict"] = answer.Failure.Verdict.String()
 		fields["code"] = string(answer.Failure.Code)
 		fields["detail"] = answer.Failure.Detail
 	}
-	if gone && (!run.request.hop() || run.good == 0) {
+	if gone && !withdrawn {
 		outcome = "caller left"
 	}
 	run.observe(outcome, now)
