--- a/dispatch/budget_test.go
+++ b/dispatch/budget_test.go
@@ -3,6 +3,7 @@
 import (
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -32,17 +33,24 @@
 		shed     float64
 		slow     float64
 		restarts bool
+		// joins doubles the hosts in the middle, which the first ones learn of a
+		// second later.
+		joins bool
 	}{
 		{name: "all slow", hosts: 8, perStep: 1, slow: 1},
 		{name: "all shed", hosts: 8, perStep: 1, shed: 1},
 		{name: "half slow and half shed", hosts: 6, perStep: 2, shed: 0.5, slow: 0.5},
 		{name: "one host", hosts: 1, perStep: 8, shed: 0.9},
 		{name: "hosts start again", hosts: 8, perStep: 1, shed: 1, restarts: true},
+		{name: "hosts join", hosts: 4, perStep: 1, shed: 1, joins: true},
+		{name: "hosts join while all are slow", hosts: 4, perStep: 2, slow: 1, joins: true},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				counter := &counter{random: rand.New(rand.NewPCG(1, 2))}
+				var known atomic.Int64
+				known.Store(int64(test.hosts))
 				start := func() *dispatch.Dispatcher {
 					made := newDispatcher(&fleet{rule: func(string, int) (time.Duration, *verdict.Failure) {
 						counter.tries.Add()
@@ -57,7 +65,7 @@
 					}})
 					// Nothing is refused, so that each request has a first try.
 					made.Random = func() float64 { return 1 }
-					made.Hosts = func() int { return test.hosts }
+					made.Hosts = func() int { return int(known.Load()) }
 					made.SetExtra(extraRatio, extraSlack)
 					return made
 				}
@@ -69,6 +77,16 @@
 					if test.restarts && step%windowSteps == 50 {
 						running[step/windowSteps] = start()
 					}
+					if test.joins && step == windowSteps+50 {
+						for range test.hosts {
+							joined := start()
+							joined.Hosts = func() int { return 2 * test.hosts }
+							running = append(running, joined)
+						}
+					}
+					if test.joins && step == windowSteps+60 {
+						known.Store(int64(2 * test.hosts))
+					}
 					for _, dispatcher := range running {
 						for range test.perStep {
 							counter.requests.Add()
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -8,7 +8,6 @@
 	"context"
 	"slices"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"fescuehall/exchange"
@@ -150,32 +149,18 @@
 	// Observe counts each request; it may be nil.
 	Observe func(request metric.Request)
 
-	extra     atomic.Pointer[extra]
-	services  sync.Map
+	budgets   retry.Budgets
 	routes    sync.Map
 	throttles sync.Map
 }
 
-// extra is the extra requests a service may get from all hosts: a share of its
-// requests, and a number.
-type extra struct {
-	ratio float64
-	slack float64
-}
-
 // SetExtra bounds the extra requests that a service may get from all hosts by a
 // share of its requests and a number. It may be called again.
 func (dispatcher *Dispatcher) SetExtra(ratio, slack float64) {
-	dispatcher.extra.Store(&extra{ratio: ratio, slack: slack})
+	dispatcher.budgets.Share(ratio, slack)
 }
 
 const (
-	// slackShare of the slack is spent: the rest covers processes that start
-	// again and hosts that are not known yet.
-	slackShare = 0.7
-	// ratioShare of the ratio is spent, for requests that callers give up before
-	// they arrive.
-	ratioShare = 0.95
 	// hedgeQuantile is the part of tries, in percent, that are not hedged. What
 	// is left stays well under the usual budget of 20%.
 	hedgeQuantile = 92
@@ -186,17 +171,7 @@
 
 // budget returns the budget of extra requests of a service.
 func (dispatcher *Dispatcher) budget(service string) *retry.Budget {
-	allowed := dispatcher.extra.Load()
-	ratio := allowed.ratio * ratioShare
-	burst := allowed.slack * slackShare / float64(max(1, dispatcher.Hosts()))
-	if found, ok := dispatcher.services.Load(service); ok {
-		budget := found.(*retry.Budget)
-		budget.Bound(ratio, burst)
-		return budget
-	}
-	made := &retry.Budget{Ratio: ratio, Burst: burst, Full: true}
-	found, _ := dispatcher.services.LoadOrStore(service, made)
-	return found.(*retry.Budget)
+	return dispatcher.budgets.Of(service, dispatcher.Hosts())
 }
 
 // throttle returns the throttle of the services that a request needs. Routes to
--- a/poll/poll.go
+++ b/poll/poll.go
@@ -42,12 +42,17 @@
 	for ctx.Err() == nil {
 		loop.once(ctx)
 		pause := time.Duration(float64(loop.pause()) * (1 - jitter/2 + jitter*rand.Float64()))
-		timer := time.NewTimer(pause)
-		select {
-		case <-timer.C:
-		case <-ctx.Done():
-			timer.Stop()
-		}
+		Pause(ctx, pause)
+	}
+}
+
+// Pause waits for a time, or until ctx ends.
+func Pause(ctx context.Context, wait time.Duration) {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
 	}
 }
 
--- a/relay/watch.go
+++ b/relay/watch.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"fescuehall/patch"
+	"fescuehall/poll"
 	"fescuehall/service"
 	"fescuehall/store"
 )
@@ -44,7 +45,7 @@
 	for ctx.Err() == nil {
 		if !watcher.Chosen() {
 			watcher.revision = 0
-			wait(ctx, idleCheck)
+			poll.Pause(ctx, idleCheck)
 			continue
 		}
 		if err := watcher.step(ctx); err != nil {
@@ -66,7 +67,7 @@
 	watcher.healthy = false
 	watcher.backoff = min(backoffMost, max(backoffLeast, 2*watcher.backoff))
 	watcher.revision = 0
-	wait(ctx, watcher.backoff/2+rand.N(watcher.backoff))
+	poll.Pause(ctx, watcher.backoff/2+rand.N(watcher.backoff))
 }
 
 // step reads the head after a failure or a dead watch, and watches it
@@ -78,7 +79,7 @@
 			return err
 		}
 		if revision == 0 {
-			wait(ctx, idleCheck)
+			poll.Pause(ctx, idleCheck)
 			return nil
 		}
 		return watcher.take(ctx, record, revision)
@@ -101,7 +102,7 @@
 	inForce := watcher.Loader.Current.View().Version
 	if record.Version < inForce {
 		watcher.Log("Store answers with version %d, %d stays in force.", record.Version, inForce)
-		wait(ctx, idleCheck)
+		poll.Pause(ctx, idleCheck)
 		return nil
 	}
 	view, err := watcher.Loader.Load(ctx, record)
@@ -112,12 +113,3 @@
 	watcher.Loader.Current.Advance(view, "store")
 	return nil
 }
-
-func wait(ctx context.Context, wait time.Duration) {
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
