feed: tell hosts of changes, not of whole lists

Besides, sequences began at 0 with each process, so that a reader that had started again could say 'unchanged' of lists that the follower did not hold. Change: a reader remembers when each replica changed or left and tells what came after the follower's sequence; sequences begin at random. TestChangesAreTold: the case of another process fails with the old feed by its count of changes.

--- a/dispatch/try.go
+++ b/dispatch/try.go
@@ -116,21 +116,30 @@
 }
 
 // judge tells the suspicions of a try that was in time or late. A refusal, or a
-// try that was withdrawn early, is neither.
+// try that was withdrawn early, is neither. A replica that is not at its address
+// is late for good.
 func (run *run) judge(id string, result replica.Result, failure *verdict.Failure) {
 	suspects := run.dispatcher.Suspects
 	if suspects == nil {
 		return
 	}
-	late := result.Took > run.dispatcher.hedgeAfter(run.request.Route)
 	switch {
-	case late || failure != nil && failure.Verdict != verdict.NotRun && !result.Cancelled || result.Lost:
+	case result.Took > run.dispatcher.hedgeAfter(run.request.Route), isAbsent(failure):
 		suspects.Late(id)
 	case failure == nil:
 		suspects.Timely(id)
 	}
 }
 
+// isAbsent reports whether a failure tells of a replica that does not work, in
+// contrast to a full one and to a try that was withdrawn.
+func isAbsent(failure *verdict.Failure) bool {
+	if failure == nil || failure.Code == verdict.Cancelled {
+		return false
+	}
+	return failure.Verdict != verdict.NotRun || failure.Code == verdict.Unreachable || failure.Code == verdict.Misplaced
+}
+
 // land takes the end of a try.
 func (run *run) land(flight *flight) {
 	part := run.parts[flight.place]
--- a/feed/feed.go
+++ b/feed/feed.go
@@ -14,36 +14,65 @@
 	"fescuehall/shard"
 )
 
-// Lists is what the store lists. Config is kept as operators wrote it.
-type Lists struct {
-	Version  uint64
-	Config   []byte
-	Replicas []roster.Replica
-	Hosts    []shard.Host
-}
-
-// Feed holds what this host read last. Set the fields before use.
+// Feed holds what this host read last, and what changed when, so that others are
+// told of changes only. Set the fields before use.
 type Feed struct {
 	// Name is this host's name.
 	Name string
 	// Now is the clock.
 	Now func() time.Time
+	// Random returns a number below another. Sequences begin with it, so that those
+	// of two processes of a host are not mixed up.
+	Random func(n uint64) uint64
 
 	mu         sync.Mutex
-	lists      Lists
+	version    uint64
+	config     []byte
+	replicas   map[string]listed
+	hosts      []shard.Host
 	sequence   uint64
 	replicasAt time.Time
 	hostsAt    time.Time
+	// hostsSequence is when the hosts changed, and gone when replicas left. What
+	// left before floor is forgotten.
+	hostsSequence uint64
+	gone          map[string]uint64
+	floor         uint64
+}
+
+// listed is a replica and the sequence at which it changed last.
+type listed struct {
+	replica  roster.Replica
+	sequence uint64
 }
 
+const (
+	// mostGone bounds the replicas that left and are remembered; hosts that know
+	// less are told the whole list.
+	mostGone = 1024
+	// firstMost bounds the first sequence, which leaves it room to grow.
+	firstMost = 1 << 62
+)
+
 // PutConfig takes a configuration that was read.
 func (feed *Feed) PutConfig(version uint64, config []byte) {
 	feed.mu.Lock()
 	defer feed.mu.Unlock()
-	if version > feed.lists.Version {
-		feed.lists.Version = version
-		feed.lists.Config = bytes.Clone(config)
+	if version > feed.version {
+		feed.version = version
+		feed.config = bytes.Clone(config)
+	}
+}
+
+// next returns the sequence of a change that is about to be recorded.
+func (feed *Feed) next() uint64 {
+	if feed.replicas == nil {
+		feed.sequence = feed.Random(firstMost)
+		feed.floor = feed.sequence
+		feed.replicas = make(map[string]listed)
+		feed.gone = make(map[string]uint64)
 	}
+	return feed.sequence + 1
 }
 
 // PutReplicas takes the replicas that were read.
@@ -51,9 +80,26 @@
 	feed.mu.Lock()
 	defer feed.mu.Unlock()
 	feed.replicasAt = feed.Now()
-	if !slices.EqualFunc(feed.lists.Replicas, replicas, sameReplica) {
-		feed.lists.Replicas = replicas
-		feed.sequence++
+	next := feed.next()
+	read := make(map[string]bool, len(replicas))
+	for _, replica := range replicas {
+		read[replica.ID] = true
+		if known, ok := feed.replicas[replica.ID]; !ok || !sameReplica(known.replica, replica) {
+			feed.replicas[replica.ID] = listed{replica: replica, sequence: next}
+			delete(feed.gone, replica.ID)
+			feed.sequence = next
+		}
+	}
+	for id := range feed.replicas {
+		if !read[id] {
+			delete(feed.replicas, id)
+			feed.gone[id] = next
+			feed.sequence = next
+		}
+	}
+	if len(feed.gone) > mostGone {
+		clear(feed.gone)
+		feed.floor = feed.sequence
 	}
 }
 
@@ -68,9 +114,10 @@
 	feed.mu.Lock()
 	defer feed.mu.Unlock()
 	feed.hostsAt = feed.Now()
-	if !slices.Equal(feed.lists.Hosts, hosts) {
-		feed.lists.Hosts = hosts
-		feed.sequence++
+	next := feed.next()
+	if !slices.Equal(feed.hosts, hosts) {
+		feed.hosts = hosts
+		feed.sequence, feed.hostsSequence = next, next
 	}
 }
 
@@ -85,29 +132,50 @@
 // noLists is the age of lists that were never read.
 const noLists = -1
 
-// Answer tells a host what it lacks.
+// Answer tells another host of what has changed since it asked last, or of all
+// that is known when that can't be told.
 func (feed *Feed) Answer(fetch *message.FeedFetch) *message.FeedNews {
 	feed.mu.Lock()
 	defer feed.mu.Unlock()
-	news := &message.FeedNews{Version: feed.lists.Version, Source: feed.Name, Sequence: feed.sequence, AgeMicros: feed.age()}
-	if fetch.Version < feed.lists.Version {
-		news.Config = feed.lists.Config
+	news := &message.FeedNews{Version: feed.version, Source: feed.Name, Sequence: feed.sequence, AgeMicros: feed.age()}
+	if fetch.Version < feed.version {
+		news.Config = feed.config
 	}
-	if fetch.Source == feed.Name && fetch.Sequence == feed.sequence {
+	since := fetch.Sequence
+	if fetch.Source == feed.Name && since == feed.sequence {
 		news.Unchanged = true
 		return news
 	}
-	news.Replicas = make([]message.ListedReplica, len(feed.lists.Replicas))
-	for place, replica := range feed.lists.Replicas {
-		news.Replicas[place] = encodeReplica(replica)
+	if fetch.Source != feed.Name || since < feed.floor || since > feed.sequence {
+		news.Whole = true
+		since = 0
+	}
+	for _, listed := range feed.replicas {
+		if listed.sequence > since {
+			news.Replicas = append(news.Replicas, encodeReplica(listed.replica))
+		}
 	}
-	news.Hosts = make([]message.ListedHost, len(feed.lists.Hosts))
-	for place, host := range feed.lists.Hosts {
-		news.Hosts[place] = message.ListedHost{Name: host.Name, Address: host.Address, FailureDomain: host.FailureDomain, Cores: host.Cores}
+	if !news.Whole {
+		for id, left := range feed.gone {
+			if left > since {
+				news.Gone = append(news.Gone, id)
+			}
+		}
+	}
+	if news.HostsChanged = news.Whole || feed.hostsSequence > since; news.HostsChanged {
+		news.Hosts = encodeHosts(feed.hosts)
 	}
 	return news
 }
 
+func encodeHosts(hosts []shard.Host) []message.ListedHost {
+	encoded := make([]message.ListedHost, len(hosts))
+	for place, host := range hosts {
+		encoded[place] = message.ListedHost{Name: host.Name, Address: host.Address, FailureDomain: host.FailureDomain, Cores: host.Cores}
+	}
+	return encoded
+}
+
 // age is the age of the older list.
 func (feed *Feed) age() int64 {
 	if feed.replicasAt.IsZero() || feed.hostsAt.IsZero() {
--- a/feed/feed_test.go
+++ b/feed/feed_test.go
@@ -3,6 +3,10 @@
 import (
 	"context"
 	"errors"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -31,11 +35,16 @@
 func newGroup() *group {
 	group := &group{now: time.Unix(1000, 0), feeds: make(map[string]*feed.Feed), down: make(map[string]bool)}
 	for _, host := range hosts {
-		group.feeds[host.Name] = &feed.Feed{Name: host.Name, Now: func() time.Time { return group.now }}
+		group.feeds[host.Name] = newFeed(group, host.Name, 1)
 	}
 	return group
 }
 
+// newFeed returns the feed of one process of a host.
+func newFeed(group *group, name string, process uint64) *feed.Feed {
+	return &feed.Feed{Name: name, Now: func() time.Time { return group.now }, Random: rand.New(rand.NewPCG(process, 0)).Uint64N}
+}
+
 func (group *group) read(name string, replicas ...roster.Replica) {
 	group.feeds[name].PutConfig(7, []byte("config"))
 	group.feeds[name].PutReplicas(replicas)
@@ -186,3 +195,71 @@
 		qt.Assert(t, follower.Reads(), qt.Equals, reads, qt.Commentf("%s", name))
 	}
 }
+
+func named(ids ...string) []roster.Replica {
+	replicas := make([]roster.Replica, len(ids))
+	for place, id := range ids {
+		replicas[place] = roster.Replica{ID: id, Service: "s"}
+	}
+	return replicas
+}
+
+// A follower is told of what has changed since it asked last, and then holds what
+// the reader holds, whatever it missed in between.
+func TestChangesAreTold(t *testing.T) {
+	many := make([]string, 2000)
+	for number := range many {
+		many[number] = fmt.Sprint("r", number)
+	}
+	tests := []struct {
+		name string
+		// reads are the reader's readings, a follower asks after the first and the
+		// last.
+		reads [][]string
+		// restart is set when the reader's process is another one by then.
+		restart bool
+		told    int
+		gone    int
+		whole   bool
+	}{
+		{name: "one came", reads: [][]string{{"a", "b"}, {"a", "b", "c"}}, told: 1},
+		{name: "one left", reads: [][]string{{"a", "b"}, {"a"}}, gone: 1},
+		{name: "came and left", reads: [][]string{{"a"}, {"a", "b"}, {"a"}}, gone: 1},
+		{name: "left and came back", reads: [][]string{{"a", "b"}, {"a"}, {"b", "a"}}, told: 1},
+		{name: "more left than are remembered", reads: [][]string{many, {"r0"}, {"r0", "x"}}, told: 2, whole: true},
+		{name: "another process with as many changes", reads: [][]string{{"a", "b"}, {"a"}}, restart: true, told: 1, whole: true},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			group := newGroup()
+			reader, name, _ := group.roles()
+			follower, taken := group.follower(name)
+			ask := follower.Ask
+			var news *message.FeedNews
+			follower.Ask = func(ctx context.Context, host shard.Host, fetch *message.FeedFetch) (*message.FeedNews, error) {
+				answered, err := ask(ctx, host, fetch)
+				news = answered
+				return answered, err
+			}
+			for place, ids := range test.reads {
+				if place > 0 && test.restart {
+					group.feeds[reader] = newFeed(group, reader, 2)
+				}
+				group.read(reader, named(ids...)...)
+				if place == 0 {
+					qt.Assert(t, follower.Step(context.Background()), qt.IsNil)
+				}
+			}
+			qt.Assert(t, follower.Step(context.Background()), qt.IsNil)
+			last := named(test.reads[len(test.reads)-1]...)
+			order := func(a, b roster.Replica) int { return strings.Compare(a.ID, b.ID) }
+			slices.SortFunc(last, order)
+			slices.SortFunc(taken.replicas, order)
+			qt.Assert(t, taken.replicas, qt.DeepEquals, last)
+			qt.Assert(t, news.Replicas, qt.HasLen, test.told)
+			qt.Assert(t, news.Gone, qt.HasLen, test.gone)
+			qt.Assert(t, news.Whole, qt.Equals, test.whole)
+			qt.Assert(t, news.HostsChanged, qt.Equals, test.whole)
+		})
+	}
+}
--- a/feed/follower.go
+++ b/feed/follower.go
@@ -53,6 +53,9 @@
 	// Confirm is told that the lists have not changed.
 	Confirm func()
 
+	// held and hosts are what source listed at sequence.
+	held     map[string]roster.Replica
+	hosts    []shard.Host
 	source   string
 	sequence uint64
 	fedAt    atomic.Pointer[time.Time]
@@ -150,15 +153,26 @@
 }
 
 func (follower *Follower) take(news *message.FeedNews) {
-	replicas := make([]roster.Replica, len(news.Replicas))
-	for place, listed := range news.Replicas {
-		replicas[place] = decodeReplica(listed)
+	if news.Whole {
+		follower.held = make(map[string]roster.Replica, len(news.Replicas))
 	}
-	hosts := make([]shard.Host, len(news.Hosts))
-	for place, listed := range news.Hosts {
-		hosts[place] = shard.Host{Name: listed.Name, Address: listed.Address, FailureDomain: listed.FailureDomain, Cores: listed.Cores}
+	for _, listed := range news.Replicas {
+		follower.held[listed.ID] = decodeReplica(listed)
+	}
+	for _, id := range news.Gone {
+		delete(follower.held, id)
+	}
+	replicas := make([]roster.Replica, 0, len(follower.held))
+	for _, replica := range follower.held {
+		replicas = append(replicas, replica)
 	}
 	follower.TakeReplicas(replicas)
-	follower.TakeHosts(hosts)
+	if news.HostsChanged {
+		follower.hosts = make([]shard.Host, len(news.Hosts))
+		for place, listed := range news.Hosts {
+			follower.hosts[place] = shard.Host{Name: listed.Name, Address: listed.Address, FailureDomain: listed.FailureDomain, Cores: listed.Cores}
+		}
+	}
+	follower.TakeHosts(follower.hosts)
 	follower.source, follower.sequence = news.Source, news.Sequence
 }
--- a/message/message.go
+++ b/message/message.go
@@ -56,10 +56,17 @@
 	// The configuration as operators wrote it, empty when the asking host holds it.
 	Config []byte `json:"Config"`
 
-	// Entry hosts.
+	// Identities of the replicas that have left since.
+	Gone []string `json:"Gone"`
+
+	// Entry hosts, empty when they have not changed.
 	Hosts []ListedHost `json:"Hosts"`
 
-	// Replicas of all services.
+	// Set when Hosts holds the entry hosts.
+	HostsChanged bool `json:"HostsChanged"`
+
+	// Replicas that have changed since the lists that the asking host holds, or all
+	// of them.
 	Replicas []ListedReplica `json:"Replicas"`
 
 	// Grows when the lists change.
@@ -76,6 +83,9 @@
 
 	// Version of the routes.
 	Version uint64 `json:"Version"`
+
+	// Set when Replicas are all of them.
+	Whole bool `json:"Whole"`
 }
 
 // GatherReply is one of a peer's answers to a GatherRequest, each with what is
--- a/message/message_gen.go
+++ b/message/message_gen.go
@@ -388,30 +388,39 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *FeedNews) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 9
+	// map header, size 12
 	// string "AgeMicros"
-	o = append(o, 0x89, 0xa9, 0x41, 0x67, 0x65, 0x4d, 0x69, 0x63, 0x72, 0x6f, 0x73)
+	o = append(o, 0x8c, 0xa9, 0x41, 0x67, 0x65, 0x4d, 0x69, 0x63, 0x72, 0x6f, 0x73)
 	o = msgp.AppendInt64(o, z.AgeMicros)
 	// string "Config"
 	o = append(o, 0xa6, 0x43, 0x6f, 0x6e, 0x66, 0x69, 0x67)
 	o = msgp.AppendBytes(o, z.Config)
+	// string "Gone"
+	o = append(o, 0xa4, 0x47, 0x6f, 0x6e, 0x65)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Gone)))
+	for za0001 := range z.Gone {
+		o = msgp.AppendString(o, z.Gone[za0001])
+	}
 	// string "Hosts"
 	o = append(o, 0xa5, 0x48, 0x6f, 0x73, 0x74, 0x73)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Hosts)))
-	for za0001 := range z.Hosts {
-		o, err = z.Hosts[za0001].MarshalMsg(o)
+	for za0002 := range z.Hosts {
+		o, err = z.Hosts[za0002].MarshalMsg(o)
 		if err != nil {
-			err = msgp.WrapError(err, "Hosts", za0001)
+			err = msgp.WrapError(err, "Hosts", za0002)
 			return
 		}
 	}
+	// string "HostsChanged"
+	o = append(o, 0xac, 0x48, 0x6f, 0x73, 0x74, 0x73, 0x43, 0x68, 0x61, 0x6e, 0x67, 0x65, 0x64)
+	o = msgp.AppendBool(o, z.HostsChanged)
 	// string "Replicas"
 	o = append(o, 0xa8, 0x52, 0x65, 0x70, 0x6c, 0x69, 0x63, 0x61, 0x73)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Replicas)))
-	for za0002 := range z.Replicas {
-		o, err = z.Replicas[za0002].MarshalMsg(o)
+	for za0003 := range z.Replicas {
+		o, err = z.Replicas[za0003].MarshalMsg(o)
 		if err != nil {
-			err = msgp.WrapError(err, "Replicas", za0002)
+			err = msgp.WrapError(err, "Replicas", za0003)
 			return
 		}
 	}
@@ -424,10 +433,10 @@
 	// string "Streaks"
 	o = append(o, 0xa7, 0x53, 0x74, 0x72, 0x65, 0x61, 0x6b, 0x73)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Streaks)))
-	for za0003 := range z.Streaks {
-		o, err = z.Streaks[za0003].MarshalMsg(o)
+	for za0004 := range z.Streaks {
+		o, err = z.Streaks[za0004].MarshalMsg(o)
 		if err != nil {
-			err = msgp.WrapError(err, "Streaks", za0003)
+			err = msgp.WrapError(err, "Streaks", za0004)
 			return
 		}
 	}
@@ -437,6 +446,9 @@
 	// string "Version"
 	o = append(o, 0xa7, 0x56, 0x65, 0x72, 0x73, 0x69, 0x6f, 0x6e)
 	o = msgp.AppendUint64(o, z.Version)
+	// string "Whole"
+	o = append(o, 0xa5, 0x57, 0x68, 0x6f, 0x6c, 0x65)
+	o = msgp.AppendBool(o, z.Whole)
 	return
 }
 
@@ -470,41 +482,66 @@
 				err = msgp.WrapError(err, "Config")
 				return
 			}
-		case "Hosts":
+		case "Gone":
 			var zb0002 uint32
 			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Hosts")
+				err = msgp.WrapError(err, "Gone")
 				return
 			}
-			if cap(z.Hosts) >= int(zb0002) {
-				z.Hosts = (z.Hosts)[:zb0002]
+			if cap(z.Gone) >= int(zb0002) {
+				z.Gone = (z.Gone)[:zb0002]
 			} else {
-				z.Hosts = make([]ListedHost, zb0002)
+				z.Gone = make([]string, zb0002)
 			}
-			for za0001 := range z.Hosts {
-				bts, err = z.Hosts[za0001].UnmarshalMsg(bts)
+			for za0001 := range z.Gone {
+				z.Gone[za0001], bts, err = msgp.ReadStringBytes(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "Hosts", za0001)
+					err = msgp.WrapError(err, "Gone", za0001)
 					return
 				}
 			}
-		case "Replicas":
+		case "Hosts":
 			var zb0003 uint32
 			zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Hosts")
+				return
+			}
+			if cap(z.Hosts) >= int(zb0003) {
+				z.Hosts = (z.Hosts)[:zb0003]
+			} else {
+				z.Hosts = make([]ListedHost, zb0003)
+			}
+			for za0002 := range z.Hosts {
+				bts, err = z.Hosts[za0002].UnmarshalMsg(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Hosts", za0002)
+					return
+				}
+			}
+		case "HostsChanged":
+			z.HostsChanged, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "HostsChanged")
+				return
+			}
+		case "Replicas":
+			var zb0004 uint32
+			zb0004, bts, err = msgp.ReadArrayHeaderBytes(bts)
 			if err != nil {
 				err = msgp.WrapError(err, "Replicas")
 				return
 			}
-			if cap(z.Replicas) >= int(zb0003) {
-				z.Replicas = (z.Replicas)[:zb0003]
+			if cap(z.Replicas) >= int(zb0004) {
+				z.Replicas = (z.Replicas)[:zb0004]
 			} else {
-				z.Replicas = make([]ListedReplica, zb0003)
+				z.Replicas = make([]ListedReplica, zb0004)
 			}
-			for za0002 := range z.Replicas {
-				bts, err = z.Replicas[za0002].UnmarshalMsg(bts)
+			for za0003 := range z.Replicas {
+				bts, err = z.Replicas[za0003].UnmarshalMsg(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "Replicas", za0002)
+					err = msgp.WrapError(err, "Replicas", za0003)
 					return
 				}
 			}
@@ -521,21 +558,21 @@
 				return
 			}
 		case "Streaks":
-			var zb0004 uint32
-			zb0004, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			var zb0005 uint32
+			zb0005, bts, err = msgp.ReadArrayHeaderBytes(bts)
 			if err != nil {
 				err = msgp.WrapError(err, "Streaks")
 				return
 			}
-			if cap(z.Streaks) >= int(zb0004) {
-				z.Streaks = (z.Streaks)[:zb0004]
+			if cap(z.Streaks) >= int(zb0005) {
+				z.Streaks = (z.Streaks)[:zb0005]
 			} else {
-				z.Streaks = make([]Streak, zb0004)
+				z.Streaks = make([]Streak, zb0005)
 			}
-			for za0003 := range z.Streaks {
-				bts, err = z.Streaks[za0003].UnmarshalMsg(bts)
+			for za0004 := range z.Streaks {
+				bts, err = z.Streaks[za0004].UnmarshalMsg(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "Streaks", za0003)
+					err = msgp.WrapError(err, "Streaks", za0004)
 					return
 				}
 			}
@@ -551,6 +588,12 @@
 				err = msgp.WrapError(err, "Version")
 				return
 			}
+		case "Whole":
+			z.Whole, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Whole")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -565,19 +608,23 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *FeedNews) Msgsize() (s int) {
-	s = 1 + 10 + msgp.Int64Size + 7 + msgp.BytesPrefixSize + len(z.Config) + 6 + msgp.ArrayHeaderSize
-	for za0001 := range z.Hosts {
-		s += z.Hosts[za0001].Msgsize()
+	s = 1 + 10 + msgp.Int64Size + 7 + msgp.BytesPrefixSize + len(z.Config) + 5 + msgp.ArrayHeaderSize
+	for za0001 := range z.Gone {
+		s += msgp.StringPrefixSize + len(z.Gone[za0001])
+	}
+	s += 6 + msgp.ArrayHeaderSize
+	for za0002 := range z.Hosts {
+		s += z.Hosts[za0002].Msgsize()
 	}
-	s += 9 + msgp.ArrayHeaderSize
-	for za0002 := range z.Replicas {
-		s += z.Replicas[za0002].Msgsize()
+	s += 13 + msgp.BoolSize + 9 + msgp.ArrayHeaderSize
+	for za0003 := range z.Replicas {
+		s += z.Replicas[za0003].Msgsize()
 	}
 	s += 9 + msgp.Uint64Size + 7 + msgp.StringPrefixSize + len(z.Source) + 8 + msgp.ArrayHeaderSize
-	for za0003 := range z.Streaks {
-		s += z.Streaks[za0003].Msgsize()
+	for za0004 := range z.Streaks {
+		s += z.Streaks[za0004].Msgsize()
 	}
-	s += 10 + msgp.BoolSize + 8 + msgp.Uint64Size
+	s += 10 + msgp.BoolSize + 8 + msgp.Uint64Size + 6 + msgp.BoolSize
 	return
 }
 
