--- a/dispatch/budget_test.go
+++ b/dispatch/budget_test.go
@@ -26,17 +26,7 @@
 // beyond its requests stay in any window, over all hosts, within the requests
 // times the ratio and the slack.
 func TestExtraTriesStayWithinTheBudgetOfAllHosts(t *testing.T) {
-	tests := []struct {
-		name     string
-		hosts    int
-		perStep  int
-		shed     float64
-		slow     float64
-		restarts bool
-		// joins doubles the hosts in the middle, which the first ones learn of a
-		// second later.
-		joins bool
-	}{
+	tests := []budgetCase{
 		{name: "all slow", hosts: 8, perStep: 1, slow: 1},
 		{name: "all shed", hosts: 8, perStep: 1, shed: 1},
 		{name: "half slow and half shed", hosts: 6, perStep: 2, shed: 0.5, slow: 0.5},
@@ -47,63 +37,79 @@
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				counter := &counter{random: rand.New(rand.NewPCG(1, 2))}
-				var known atomic.Int64
-				known.Store(int64(test.hosts))
-				start := func() *dispatch.Dispatcher {
-					made := newDispatcher(&fleet{rule: func(string, int) (time.Duration, *verdict.Failure) {
-						counter.tries.Add()
-						took := 5 * time.Millisecond
-						if counter.draw() < test.slow {
-							took = 300 * time.Millisecond
-						}
-						if counter.draw() < test.shed {
-							return took, failure(verdict.NotRun, verdict.Shed)
-						}
-						return took, nil
-					}})
-					// Nothing is refused, so that each request has a first try.
-					made.Random = func() float64 { return 1 }
-					made.Hosts = func() int { return int(known.Load()) }
-					made.SetExtra(extraRatio, extraSlack)
-					return made
-				}
-				running := make([]*dispatch.Dispatcher, test.hosts)
-				for place := range running {
-					running[place] = start()
-				}
-				for step := range 3 * windowSteps {
-					if test.restarts && step%windowSteps == 50 {
-						running[step/windowSteps] = start()
-					}
-					if test.joins && step == windowSteps+50 {
-						for range test.hosts {
-							joined := start()
-							joined.Hosts = func() int { return 2 * test.hosts }
-							running = append(running, joined)
-						}
-					}
-					if test.joins && step == windowSteps+60 {
-						known.Store(int64(2 * test.hosts))
-					}
-					for _, dispatcher := range running {
-						for range test.perStep {
-							counter.requests.Add()
-							go dispatcher.Serve(t.Context(), ask(plain(true)))
-						}
-					}
-					time.Sleep(stepTime)
-					counter.next()
-				}
-				time.Sleep(5 * time.Second)
-				counter.next()
-				counter.check(t)
-			})
+			synctest.Test(t, test.run)
 		})
 	}
 }
 
+// budgetCase is hosts that share a budget while replicas fail.
+type budgetCase struct {
+	name     string
+	hosts    int
+	perStep  int
+	shed     float64
+	slow     float64
+	restarts bool
+	// joins doubles the hosts in the middle, which the first ones learn of a
+	// second later.
+	joins bool
+}
+
+func (test budgetCase) run(t *testing.T) {
+	counter := &counter{random: rand.New(rand.NewPCG(1, 2))}
+	var known atomic.Int64
+	known.Store(int64(test.hosts))
+	seen := func() int { return int(known.Load()) }
+	running := make([]*dispatch.Dispatcher, test.hosts)
+	for place := range running {
+		running[place] = test.start(counter, seen)
+	}
+	for step := range 3 * windowSteps {
+		if test.restarts && step%windowSteps == 50 {
+			running[step/windowSteps] = test.start(counter, seen)
+		}
+		if test.joins && step == windowSteps+50 {
+			for range test.hosts {
+				running = append(running, test.start(counter, func() int { return 2 * test.hosts }))
+			}
+		}
+		if test.joins && step == windowSteps+60 {
+			known.Store(int64(2 * test.hosts))
+		}
+		for _, dispatcher := range running {
+			for range test.perStep {
+				counter.requests.Add()
+				go dispatcher.Serve(t.Context(), ask(plain(true)))
+			}
+		}
+		time.Sleep(stepTime)
+		counter.next()
+	}
+	time.Sleep(5 * time.Second)
+	counter.next()
+	counter.check(t)
+}
+
+// start returns a host's dispatcher; seen is how many hosts it knows.
+func (test budgetCase) start(counter *counter, seen func() int) *dispatch.Dispatcher {
+	made := newDispatcher(&fleet{rule: func(string, int) (time.Duration, *verdict.Failure) {
+		counter.tries.Add()
+		took := 5 * time.Millisecond
+		if counter.draw() < test.slow {
+			took = 300 * time.Millisecond
+		}
+		if counter.draw() < test.shed {
+			return took, failure(verdict.NotRun, verdict.Shed)
+		}
+		return took, nil
+	}})
+	// Nothing is refused, so that each request has a first try.
+	made.Random = func() float64 { return 1 }
+	made.Hosts = seen
+	made.SetExtra(extraRatio, extraSlack)
+	return made
+}
+
 // series counts events by step.
 type series struct {
 	mu    sync.Mutex
--- a/feed/feed.go
+++ b/feed/feed.go
@@ -142,32 +142,37 @@
 		news.Config = feed.config
 	}
 	since := fetch.Sequence
-	if fetch.Source == feed.Name && since == feed.sequence {
+	switch {
+	case fetch.Source == feed.Name && since == feed.sequence:
 		news.Unchanged = true
 		return news
-	}
-	if fetch.Source != feed.Name || since < feed.floor || since > feed.sequence {
+	case fetch.Source != feed.Name || since < feed.floor || since > feed.sequence:
 		news.Whole = true
 		since = 0
+	default:
+		news.Gone = feed.goneSince(since)
 	}
 	for _, listed := range feed.replicas {
 		if listed.sequence > since {
 			news.Replicas = append(news.Replicas, encodeReplica(listed.replica))
 		}
 	}
-	if !news.Whole {
-		for id, left := range feed.gone {
-			if left > since {
-				news.Gone = append(news.Gone, id)
-			}
-		}
-	}
 	if news.HostsChanged = news.Whole || feed.hostsSequence > since; news.HostsChanged {
 		news.Hosts = encodeHosts(feed.hosts)
 	}
 	return news
 }
 
+func (feed *Feed) goneSince(since uint64) []string {
+	var gone []string
+	for id, left := range feed.gone {
+		if left > since {
+			gone = append(gone, id)
+		}
+	}
+	return gone
+}
+
 func encodeHosts(hosts []shard.Host) []message.ListedHost {
 	encoded := make([]message.ListedHost, len(hosts))
 	for place, host := range hosts {
