retry: spend parts of a shared budget as chances

Cause: a host's part of a service's budget is slack x 0.7 / hosts, and only whole requests were spent. With 120 hosts and more no part reaches one, so that nothing is hedged or tried again at all; with 66, a third of it lay idle. Change: less than a whole request is spent as the chance of one, and is gone whether it is drawn or not, so that the expected sum over all hosts is what it was. Ruled out: saving up to a whole one on each host, whose sum would break the bound. TestPartsAreChances and the case of 200 hosts failed without it; the sum over all hosts stays within the bound in all cases.

--- a/dispatch/budget_test.go
+++ b/dispatch/budget_test.go
@@ -32,6 +32,7 @@
 		{name: "half slow and half shed", hosts: 6, perStep: 2, shed: 0.5, slow: 0.5},
 		{name: "one host", hosts: 1, perStep: 8, shed: 0.9},
 		{name: "hosts start again", hosts: 8, perStep: 1, shed: 1, restarts: true},
+		{name: "many hosts, each with a part of a try", hosts: 200, perStep: 1, shed: 0.5},
 		{name: "hosts join", hosts: 4, perStep: 1, shed: 1, joins: true},
 		{name: "hosts join while all are slow", hosts: 4, perStep: 2, slow: 1, joins: true},
 	}
@@ -103,10 +104,11 @@
 		}
 		return took, nil
 	}})
-	// Nothing is refused, so that each request has a first try.
-	made.Random = func() float64 { return 1 }
 	made.Hosts = seen
+	made.Random = counter.draw
 	made.SetExtra(extraRatio, extraSlack)
+	// Nothing is refused, so that each request has a first try.
+	made.Random = func() float64 { return 1 }
 	return made
 }
 
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -157,7 +157,7 @@
 // SetExtra bounds the extra requests that a service may get from all hosts by a
 // share of its requests and a number. It may be called again.
 func (dispatcher *Dispatcher) SetExtra(ratio, slack float64) {
-	dispatcher.budgets.Share(ratio, slack)
+	dispatcher.budgets.Share(ratio, slack, dispatcher.Random)
 }
 
 const (
--- a/retry/budgets.go
+++ b/retry/budgets.go
@@ -24,14 +24,16 @@
 // shared is the extra requests a service may get from all hosts: a share of its
 // requests, and a number.
 type shared struct {
-	ratio float64
-	slack float64
+	ratio  float64
+	slack  float64
+	random func() float64
 }
 
 // Share bounds the extra requests that a service may get from all hosts by a
-// share of its requests and a number. It may be called again.
-func (budgets *Budgets) Share(ratio, slack float64) {
-	budgets.shared.Store(&shared{ratio: ratio, slack: slack})
+// share of its requests and a number. Parts of a request are spent as chances,
+// by random, which returns a number in [0, 1). It may be called again.
+func (budgets *Budgets) Share(ratio, slack float64, random func() float64) {
+	budgets.shared.Store(&shared{ratio: ratio, slack: slack, random: random})
 }
 
 // Of returns this host's part of the budget of a service, where a number of
@@ -45,6 +47,6 @@
 		budget.Bound(ratio, burst)
 		return budget
 	}
-	found, _ := budgets.services.LoadOrStore(service, &Budget{Ratio: ratio, Burst: burst, Full: true})
+	found, _ := budgets.services.LoadOrStore(service, &Budget{Ratio: ratio, Burst: burst, Full: true, Random: allowed.random})
 	return found.(*Budget)
 }
--- a/retry/retry.go
+++ b/retry/retry.go
@@ -18,6 +18,10 @@
 	Burst float64
 	// Full starts the budget with all that may be saved up.
 	Full bool
+	// Random returns a number in [0, 1). With it a part of a sub-request that is
+	// saved up is a chance of one, so that the many small parts of a budget that
+	// hosts share are of use and add up. Without it only whole ones are spent.
+	Random func() float64
 
 	mu     sync.Mutex
 	tokens float64
@@ -55,15 +59,28 @@
 func (budget *Budget) Take() bool {
 	budget.mu.Lock()
 	defer budget.mu.Unlock()
-	if budget.tokens < 1 {
+	if !budget.spend() {
 		budget.denied++
 		return false
 	}
-	budget.tokens--
 	budget.extra++
 	return true
 }
 
+// spend takes one token, or all of a part of one for that chance.
+func (budget *Budget) spend() bool {
+	if budget.tokens >= 1 {
+		budget.tokens--
+		return true
+	}
+	if budget.Random == nil {
+		return false
+	}
+	chance := budget.tokens
+	budget.tokens = 0
+	return budget.Random() < chance
+}
+
 // Refund gives back what Take took for a sub-request that did not run.
 func (budget *Budget) Refund() {
 	budget.mu.Lock()
--- a/retry/retry_test.go
+++ b/retry/retry_test.go
@@ -1,6 +1,7 @@
 package retry_test
 
 import (
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -60,3 +61,29 @@
 	qt.Assert(t, known, qt.IsTrue)
 	qt.Assert(t, after > 90*time.Millisecond && after < 99*time.Millisecond, qt.IsTrue, qt.Commentf("%v", after))
 }
+
+// Parts of a sub-request that many hosts save up are spent as chances, which add
+// up to the whole and no more.
+func TestPartsAreChances(t *testing.T) {
+	random := rand.New(rand.NewPCG(1, 2))
+	const hosts, burst, earned = 1000, 0.3, 0.5
+	taken := 0
+	for range hosts {
+		budget := &retry.Budget{Ratio: earned, Burst: burst, Full: true, Random: random.Float64}
+		for range 5 {
+			budget.First(1)
+			for range 3 {
+				if budget.Take() {
+					taken++
+				}
+			}
+		}
+	}
+	// Each of the five requests fills the budget to its burst.
+	const most = hosts * 5 * burst
+	qt.Assert(t, taken > most*0.9 && taken < most*1.1, qt.IsTrue, qt.Commentf("%d taken of %v", taken, most))
+	// Without chances a part of one is of no use.
+	whole := &retry.Budget{Ratio: earned, Burst: burst, Full: true}
+	whole.First(10)
+	qt.Assert(t, whole.Take(), qt.IsFalse)
+}
