--- a/Makefile
+++ b/Makefile
@@ -47,7 +47,6 @@
 # Measures how costs grow with size and works out docs/CAPACITY.md.
 capacity: build
 	./bin/fescuehall capacity --measure
-	cat docs/capacity-platform.md >> docs/CAPACITY.md
 
 # Kills, freezes and stops real processes under load and checks the promises.
 faults: build
