exchange: limit what servers, peers, the store and callers may send

Bodies were cut at 8 MiB each, but not all together; the store's replies, the operator's command and callers' heads had limits of net/http or none, and frames of peers 16 MiB each without a common limit. Ruled out: a limit by time, which does not bound memory; net/http's client, whose limit on heads is exact but which resends and can't tell a late response apart.

Change: quota limits the memory of all messages that are being read. exchange limits the head (16 KiB), the body by the number of records that the request asks for (8 MiB where the route merges nothing), and closes the connection with MayHaveRun and ReplyTooLarge, or MemoryExhausted.

--- a/backend/client.go
+++ b/backend/client.go
@@ -15,12 +15,18 @@
 	"sync/atomic"
 	"time"
 
+	"fescuehall/quota"
 	"fescuehall/verdict"
 )
 
 const (
-	dialTimeout   = time.Second
-	maxReplyBytes = 8 << 20
+	dialTimeout = time.Second
+	// A reply may have maxHitBytes for each hit that the search asks for, and
+	// minReplyLimit besides.
+	maxHitBytes   = 64 << 10
+	minReplyLimit = 256 << 10
+	// maxReplyHeaderBytes limits the header of a reply.
+	maxReplyHeaderBytes = 16 << 10
 	// maxHealthBytes limits how much of a health reply is read. A reply that is
 	// read to its end lets the connection be reused.
 	maxHealthBytes = 64 << 10
@@ -52,6 +58,8 @@
 		MaxConnsPerHost:     connections,
 		MaxIdleConnsPerHost: connections,
 		DisableCompression:  true,
+		// Without it net/http reads headers of 10 MB.
+		MaxResponseHeaderBytes: maxReplyHeaderBytes,
 		DialContext: func(_ context.Context, network, address string) (net.Conn, error) {
 			conn, err := dial(network, address, dialTimeout)
 			if err != nil {
@@ -158,7 +166,11 @@
 
 // readReply reads the response and checks that it answers the search.
 func (client *Client) readReply(ctx context.Context, search *Search, response *http.Response) (*Found, error) {
-	content, err := io.ReadAll(io.LimitReader(response.Body, maxReplyBytes))
+	content, err := quota.ReadAll(response.Body, "reply", minReplyLimit+maxHitBytes*int64(search.Limit), nil)
+	var limitErr *quota.LimitError
+	if errors.As(err, &limitErr) {
+		return nil, verdict.New(verdict.MayHaveRun, verdict.ReplyTooLarge, "backend server %s: %v", client.Address, err)
+	}
 	if err != nil {
 		code := verdict.ConnectionLost
 		if ctx.Err() != nil {
--- a/backend/client_test.go
+++ b/backend/client_test.go
@@ -162,3 +162,43 @@
 	qt.Assert(t, health.Draining, qt.IsTrue)
 	qt.Assert(t, health.Instance, qt.Equals, "a")
 }
+
+// A server that answers without end is cut off, and the search may have run.
+func TestReplyWithoutEnd(t *testing.T) {
+	const ok = "HTTP/1.1 200 OK\r\n"
+	tests := []struct {
+		name, prefix, block string
+		code                verdict.Code
+	}{
+		{name: "status line", prefix: "HTTP/1.1 200 ", block: "OK", code: verdict.ConnectionLost},
+		{name: "header lines", prefix: ok, block: "X: yes\r\n", code: verdict.ConnectionLost},
+		{name: "interim responses", block: "HTTP/1.1 103 Early Hints\r\n\r\n", code: verdict.ConnectionLost},
+		{name: "body", prefix: ok + "\r\n", block: " ", code: verdict.ReplyTooLarge},
+		{name: "chunks", prefix: ok + "Transfer-Encoding: chunked\r\n\r\n", block: "4\r\n    \r\n", code: verdict.ReplyTooLarge},
+		{name: "declared length", prefix: ok + "Content-Length: 9999999999\r\n\r\n", block: " ", code: verdict.ReplyTooLarge},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			listener, err := net.Listen("tcp", "127.0.0.1:0")
+			qt.Assert(t, err, qt.IsNil)
+			defer listener.Close()
+			go func() {
+				conn, err := listener.Accept()
+				if err != nil {
+					return
+				}
+				defer conn.Close()
+				io.ReadFull(conn, make([]byte, 1))
+				_, err = io.WriteString(conn, test.prefix)
+				for blocks := strings.Repeat(test.block, 1000); err == nil; {
+					_, err = io.WriteString(conn, blocks)
+				}
+			}()
+			client := backend.New(listener.Addr().String(), 1, nil)
+			defer client.Close()
+			_, err = client.Search(context.Background(), newSearch("x"))
+			qt.Assert(t, verdict.FailureOf(err).Verdict, qt.Equals, verdict.MayHaveRun)
+			qt.Assert(t, verdict.FailureOf(err).Code, qt.Equals, test.code, qt.Commentf("%v", err))
+		})
+	}
+}
--- a/caller/caller.go
+++ b/caller/caller.go
@@ -1,5 +1,6 @@
-// Package caller measures the network delay between a caller and this host, so
-// that an answer can be sent just early enough to arrive in time.
+// Package caller limits the connections of callers, and measures the network
+// delay between a caller and this host, so that an answer can be sent just early
+// enough to arrive in time.
 package caller
 
 import (
@@ -15,6 +16,8 @@
 	roundTrip time.Duration
 	// requests counts the requests on the connection.
 	requests atomic.Int64
+	// limited is set when a Limiter counts the connection.
+	limited *limitedConn
 }
 
 type contextKey struct{}
@@ -22,7 +25,13 @@
 // Attach returns a context that carries the round-trip time of a new connection
 // to the requests on it. It is meant for http.Server.ConnContext.
 func Attach(ctx context.Context, accepted net.Conn) context.Context {
-	return context.WithValue(ctx, contextKey{}, &conn{roundTrip: roundTrip(accepted)})
+	attached := &conn{}
+	if limited, ok := accepted.(*limitedConn); ok {
+		attached.limited = limited
+		accepted = limited.Conn
+	}
+	attached.roundTrip = roundTrip(accepted)
+	return context.WithValue(ctx, contextKey{}, attached)
 }
 
 // NetworkDelay returns the time that a request and its answer spend on the
--- /dev/null
+++ b/caller/limiter.go
@@ -0,0 +1,191 @@
+package caller
+
+import (
+	"container/list"
+	"net"
+	"net/http"
+	"sync"
+
+	"fescuehall/quota"
+)
+
+// headExpansion is how much memory the head of a request takes while it is
+// read, as a multiple of its length.
+const headExpansion = 8
+
+// Limiter bounds the connections of callers and the memory of the request heads
+// that are being read, so that callers that open connections and send slowly or
+// without end can't use up a host. To make room it closes connections without a
+// request in progress: first those that never had one, then the one that was
+// idle longest. Set the exported fields before use.
+type Limiter struct {
+	// MaxConns is the maximum number of open connections.
+	MaxConns int
+	// Memory limits the heads that are being read.
+	Memory *quota.Quota
+	// Closed is called with the remote address of each connection that is closed
+	// to make room; it may be nil.
+	Closed func(remote string)
+
+	mu   sync.Mutex
+	open int
+	// unused holds the connections without a request so far, idle those between
+	// two requests; the oldest come first.
+	unused list.List
+	idle   list.List
+}
+
+// Listener returns a listener whose connections are limited.
+func (limiter *Limiter) Listener(listener net.Listener) net.Listener {
+	return &limitedListener{Listener: listener, limiter: limiter}
+}
+
+type limitedListener struct {
+	net.Listener
+	limiter *Limiter
+}
+
+// Accept implements net.Listener.
+func (listener *limitedListener) Accept() (net.Conn, error) {
+	for {
+		accepted, err := listener.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		if conn := listener.limiter.add(accepted); conn != nil {
+			return conn, nil
+		}
+		accepted.Close()
+	}
+}
+
+// limitedConn is a caller's connection that a Limiter counts.
+type limitedConn struct {
+	net.Conn
+	limiter *Limiter
+	// list is the list that contains element; nil while a request is in progress.
+	list    *list.List
+	element *list.Element
+	// head reserves the memory of the head that is being read.
+	head   *quota.Reservation
+	closed bool
+}
+
+// add counts a new connection. It returns nil when there are too many and all
+// of them have a request in progress.
+func (limiter *Limiter) add(accepted net.Conn) *limitedConn {
+	limiter.mu.Lock()
+	defer limiter.mu.Unlock()
+	if limiter.open >= limiter.MaxConns && !limiter.closeOne(nil) {
+		limiter.reportClosed(accepted)
+		return nil
+	}
+	limiter.open++
+	conn := &limitedConn{Conn: accepted, limiter: limiter, head: limiter.Memory.NewReservation()}
+	conn.moveTo(&limiter.unused)
+	return conn
+}
+
+// closeOne closes a connection without a request in progress, other than the
+// given one. It reports whether there was one.
+func (limiter *Limiter) closeOne(except *limitedConn) bool {
+	for _, candidates := range []*list.List{&limiter.unused, &limiter.idle} {
+		for element := candidates.Front(); element != nil; element = element.Next() {
+			if conn := element.Value.(*limitedConn); conn != except {
+				limiter.reportClosed(conn)
+				conn.release()
+				// The connection is unusable anyway.
+				_ = conn.Conn.Close()
+				return true
+			}
+		}
+	}
+	return false
+}
+
+func (limiter *Limiter) reportClosed(conn net.Conn) {
+	if limiter.Closed != nil {
+		limiter.Closed(conn.RemoteAddr().String())
+	}
+}
+
+// moveTo moves the connection to the end of a list, or to none.
+func (conn *limitedConn) moveTo(next *list.List) {
+	if conn.list != nil {
+		conn.list.Remove(conn.element)
+	}
+	if conn.list = next; next != nil {
+		conn.element = next.PushBack(conn)
+	}
+}
+
+// release ends the counting of the connection.
+func (conn *limitedConn) release() {
+	if conn.closed {
+		return
+	}
+	conn.closed = true
+	conn.moveTo(nil)
+	conn.head.Release()
+	conn.limiter.open--
+}
+
+// Close implements net.Conn.
+func (conn *limitedConn) Close() error {
+	conn.limiter.mu.Lock()
+	conn.release()
+	conn.limiter.mu.Unlock()
+	return conn.Conn.Close()
+}
+
+// Read implements net.Conn. Outside of requests it reserves the memory of the
+// head that it reads, and closes other connections when there is none.
+func (conn *limitedConn) Read(buf []byte) (int, error) {
+	count, err := conn.Conn.Read(buf)
+	limiter := conn.limiter
+	limiter.mu.Lock()
+	defer limiter.mu.Unlock()
+	if conn.list == nil || conn.closed {
+		return count, err
+	}
+	for !conn.head.Reserve(count * headExpansion) {
+		if !limiter.closeOne(conn) {
+			return 0, quota.ErrExhausted
+		}
+	}
+	return count, err
+}
+
+// begin marks the connection as having a request in progress.
+func (conn *limitedConn) begin() {
+	conn.limiter.mu.Lock()
+	defer conn.limiter.mu.Unlock()
+	if conn.closed {
+		return
+	}
+	conn.moveTo(nil)
+	conn.head.Release()
+}
+
+// end marks the connection as idle.
+func (conn *limitedConn) end() {
+	conn.limiter.mu.Lock()
+	defer conn.limiter.mu.Unlock()
+	if conn.closed {
+		return
+	}
+	conn.head = conn.limiter.Memory.NewReservation()
+	conn.moveTo(&conn.limiter.idle)
+}
+
+// Handler returns a handler that marks connections as in use while next
+// handles their requests. It needs Attach as the server's ConnContext.
+func Handler(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+		if attached, ok := request.Context().Value(contextKey{}).(*conn); ok && attached.limited != nil {
+			attached.limited.begin()
+			defer attached.limited.end()
+		}
+		next.ServeHTTP(writer, request)
+	})
+}
--- a/command/command.go
+++ b/command/command.go
@@ -8,7 +8,6 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"io"
 	"net/http"
 	"os"
 	"os/signal"
@@ -16,6 +15,8 @@
 	"time"
 
 	"github.com/alecthomas/kong"
+
+	"fescuehall/quota"
 )
 
 // Exit codes of the program, see docs/fescuehall.1.md.
@@ -92,7 +93,12 @@
 	return signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 }
 
-const callTimeout = 30 * time.Second
+const (
+	callTimeout = 30 * time.Second
+	// maxAnswerBytes limits a host's answer to a command. The whole configuration
+	// is the largest one.
+	maxAnswerBytes = 64 << 20
+)
 
 // Target selects the entry host that a command calls.
 type Target struct {
@@ -137,9 +143,9 @@
 
 func decode(response *http.Response, value any) error {
 	defer response.Body.Close()
-	content, err := io.ReadAll(response.Body)
+	content, err := quota.ReadAll(response.Body, "answer", maxAnswerBytes, nil)
 	if err != nil {
-		return err
+		return fmt.Errorf("answer of the host: %w", err)
 	}
 	if err := json.Unmarshal(content, value); err != nil {
 		return fmt.Errorf("host answered %s: %s", response.Status, bytes.TrimSpace(content))
--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -7,24 +7,18 @@
 package exchange
 
 import (
-	"bufio"
 	"bytes"
 	"context"
 	"errors"
 	"fmt"
-	"io"
-	"net"
 	"net/http"
 	"strconv"
-	"strings"
-	"time"
 
+	"fescuehall/quota"
 	"fescuehall/verdict"
 )
 
 const (
-	// maxBodyBytes limits the response body that is held in memory.
-	maxBodyBytes = 8 << 20
 	// maxResponses limits how many responses are read for one request, counting
 	// interim ones and those to earlier requests.
 	maxResponses = 4
@@ -32,8 +26,6 @@
 	// response is read. It is less than the smallest send buffer in use, so
 	// that the write does not wait for the server.
 	maxSequentialBytes = 8 << 10
-	// readBufferBytes is enough for a response of typical size in one read.
-	readBufferBytes = 2 << 10
 )
 
 // Request is an HTTP request as it is sent.
@@ -44,6 +36,10 @@
 	Target string
 	Header http.Header
 	Body   []byte
+	// MaxBodyBytes limits the response's body; 0 means DefaultMaxBodyBytes.
+	MaxBodyBytes int
+	// Memory is where the bytes of the response are reserved; nil reserves none.
+	Memory *quota.Reservation
 }
 
 // Response is a complete HTTP response.
@@ -142,9 +138,9 @@
 // that belong to earlier requests.
 func (pool *Pool) read(conn *conn, request *Request) (*Response, bool, error) {
 	for range maxResponses {
-		response, keepAlive, err := conn.read(request.Method)
+		response, keepAlive, err := conn.read(request)
 		if err != nil {
-			return nil, false, verdict.New(verdict.MayHaveRun, verdict.ConnectionLost, "read response from %s: %v", conn.address, err)
+			return nil, false, pool.readFailure(conn, err)
 		}
 		if response.Status < http.StatusOK {
 			continue
@@ -159,6 +155,22 @@
 	return nil, false, verdict.New(verdict.MayHaveRun, verdict.ReplyMismatch, "no response from %s belongs to the request", conn.address)
 }
 
+// readFailure returns the failure of a response that could not be read.
+func (pool *Pool) readFailure(conn *conn, err error) error {
+	code := verdict.ConnectionLost
+	var limitErr *quota.LimitError
+	switch {
+	case errors.Is(err, quota.ErrExhausted):
+		code = verdict.MemoryExhausted
+	case errors.As(err, &limitErr):
+		code = verdict.ReplyTooLarge
+		if pool.Oversized != nil {
+			pool.Oversized(conn.address, limitErr)
+		}
+	}
+	return verdict.New(verdict.MayHaveRun, code, "read response from %s: %v", conn.address, err)
+}
+
 // encode returns the request in the wire format of HTTP/1.1.
 func (request *Request) encode() []byte {
 	var buffer bytes.Buffer
@@ -173,59 +185,3 @@
 	buffer.Write(request.Body)
 	return buffer.Bytes()
 }
-
-// conn is a connection to a backend server.
-type conn struct {
-	net.Conn
-	address string
-	reader  *bufio.Reader
-	// idleDeadline is when the server may close the connection if it is idle.
-	idleDeadline time.Time
-}
-
-// bindTo makes reads and writes fail once ctx ends. The function that it
-// returns ends this, and reports false when ctx had already ended.
-func (conn *conn) bindTo(ctx context.Context) func() bool {
-	deadline, _ := ctx.Deadline()
-	// If the deadline can't be set, the write that follows fails too.
-	_ = conn.SetDeadline(deadline)
-	return context.AfterFunc(ctx, func() { _ = conn.SetDeadline(time.Unix(1, 0)) })
-}
-
-// read reads one complete response and reports whether the server keeps the
-// connection open.
-func (conn *conn) read(method string) (*Response, bool, error) {
-	response, err := http.ReadResponse(conn.reader, &http.Request{Method: method})
-	if err != nil {
-		return nil, false, err
-	}
-	defer response.Body.Close()
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxBodyBytes+1))
-	if err != nil {
-		return nil, false, err
-	}
-	if len(body) > maxBodyBytes {
-		return nil, false, errors.New("response body is too large")
-	}
-	conn.idleDeadline = idleDeadline(response.Header, time.Now())
-	return &Response{Status: response.StatusCode, Header: response.Header, Body: body}, !response.Close, nil
-}
-
-// keepAliveMargin is subtracted from the server's keep-alive timeout, since a
-// request takes time to reach the server.
-const keepAliveMargin = 500 * time.Millisecond
-
-// idleDeadline returns the time until which the Keep-Alive header lets a
-// connection be idle, the zero time when it sets no limit.
-func idleDeadline(header http.Header, now time.Time) time.Time {
-	for field := range strings.SplitSeq(header.Get("Keep-Alive"), ",") {
-		name, value, _ := strings.Cut(strings.TrimSpace(field), "=")
-		if !strings.EqualFold(name, "timeout") {
-			continue
-		}
-		if seconds, err := strconv.Atoi(value); err == nil {
-			return now.Add(time.Duration(seconds)*time.Second - keepAliveMargin)
-		}
-	}
-	return time.Time{}
-}
--- a/exchange/pool.go
+++ b/exchange/pool.go
@@ -1,7 +1,6 @@
 package exchange
 
 import (
-	"bufio"
 	"context"
 	"errors"
 	"net"
@@ -9,6 +8,7 @@
 	"syscall"
 	"time"
 
+	"fescuehall/quota"
 	"fescuehall/verdict"
 )
 
@@ -31,6 +31,9 @@
 	Matches func(request *Request, response *Response) bool
 	// Dialed is called after each attempt to open a connection; it may be nil.
 	Dialed func(address string, err error)
+	// Oversized is called with the address of a server whose response exceeds a
+	// limit; it may be nil.
+	Oversized func(address string, err *quota.LimitError)
 
 	mu      sync.Mutex
 	servers map[string]*server
@@ -155,7 +158,7 @@
 		pool.releaseSlot(address)
 		return nil, verdict.New(verdict.NotRun, verdict.Unreachable, "%v", err)
 	}
-	return &conn{Conn: opened, address: address, reader: bufio.NewReaderSize(opened, readBufferBytes)}, nil
+	return newConn(opened, address), nil
 }
 
 func (pool *Pool) dial(ctx context.Context, address string) (net.Conn, error) {
--- a/frame/frame.go
+++ b/frame/frame.go
@@ -6,6 +6,8 @@
 	"encoding/binary"
 	"fmt"
 	"io"
+
+	"fescuehall/quota"
 )
 
 // Version is the protocol version, which each header contains.
@@ -71,6 +73,12 @@
 // frames, io.ErrUnexpectedEOF for a truncated frame and *Error for an invalid
 // header.
 func Read(reader io.Reader) (Frame, error) {
+	return ReadWithin(reader, nil)
+}
+
+// ReadWithin is Read with the memory that the body takes reserved. It returns
+// quota.ErrExhausted when too little is left.
+func ReadWithin(reader io.Reader, memory *quota.Reservation) (Frame, error) {
 	var header [headerBytes]byte
 	if _, err := io.ReadFull(reader, header[:]); err != nil {
 		return Frame{}, err
@@ -85,7 +93,7 @@
 	if length > MaxBodyBytes {
 		return Frame{}, &Error{Field: "Length", Value: uint64(length), Limit: MaxBodyBytes}
 	}
-	body, err := readBody(reader, int(length))
+	body, err := readBody(reader, int(length), memory)
 	if err != nil {
 		return Frame{}, err
 	}
@@ -94,13 +102,20 @@
 
 // readBody allocates memory as bytes arrive, so that a header with a false
 // length can't make it allocate much.
-func readBody(reader io.Reader, length int) ([]byte, error) {
+func readBody(reader io.Reader, length int, memory *quota.Reservation) ([]byte, error) {
 	const initialBytes = 64 << 10
+	if !memory.Reserve(min(length, initialBytes)) {
+		return nil, quota.ErrExhausted
+	}
 	body := make([]byte, min(length, initialBytes))
 	filled := 0
 	for filled < length {
 		if filled == len(body) {
-			body = append(body, make([]byte, min(len(body), length-filled))...)
+			growth := min(len(body), length-filled)
+			if !memory.Reserve(growth) {
+				return nil, quota.ErrExhausted
+			}
+			body = append(body, make([]byte, growth)...)
 		}
 		count, err := io.ReadFull(reader, body[filled:])
 		filled += count
--- a/link/client.go
+++ b/link/client.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"fescuehall/frame"
+	"fescuehall/quota"
 	"fescuehall/verdict"
 )
 
@@ -26,6 +27,8 @@
 	Address string
 	// Dial opens a connection. If it is nil, net.DialTimeout is used.
 	Dial func(network, address string, timeout time.Duration) (net.Conn, error)
+	// Memory limits the replies that are being read or handled; nil sets no limit.
+	Memory *quota.Quota
 
 	mu       sync.Mutex
 	conn     *Conn
@@ -42,11 +45,23 @@
 
 // pendingCall is a request whose replies are awaited.
 type pendingCall struct {
-	replies chan frame.Frame
+	replies chan receivedReply
 	// streaming is set if the call accepts more than one reply.
 	streaming bool
 }
 
+// receivedReply is a reply whose memory is reserved until release is called.
+type receivedReply struct {
+	frame   frame.Frame
+	release func()
+}
+
+// handle calls handle with the reply and then releases its memory.
+func (received receivedReply) handle(handle func(frame.Frame) (more bool)) (more bool) {
+	defer received.release()
+	return handle(received.frame)
+}
+
 // dialAttempt is a dial in progress, for which several calls may wait.
 type dialAttempt struct {
 	done chan struct{}
@@ -78,7 +93,7 @@
 	if err != nil {
 		return verdict.New(verdict.NotRun, verdict.Unreachable, "host %s: %v", client.Address, err)
 	}
-	defer client.unregister(id)
+	defer client.unregister(id, call)
 	sendState := &sendState{}
 	sent := conn.send(ctx, outgoing{frame: frame.Frame{Type: kind, Correlation: id, Body: body}, state: sendState})
 	if !sent {
@@ -87,7 +102,7 @@
 	for {
 		select {
 		case reply := <-call.replies:
-			if !handle(reply) {
+			if !reply.handle(handle) {
 				return nil
 			}
 		case <-conn.done:
@@ -102,7 +117,7 @@
 // ended, and returns an error if handle wants more.
 func (client *Client) connectionLost(sendState *sendState, call *pendingCall, handle func(frame.Frame) bool) error {
 	for len(call.replies) > 0 {
-		if !handle(<-call.replies) {
+		if !(<-call.replies).handle(handle) {
 			return nil
 		}
 	}
@@ -148,9 +163,9 @@
 	defer client.mu.Unlock()
 	if client.conn != nil && !client.conn.closed() {
 		client.nextID++
-		call := &pendingCall{replies: make(chan frame.Frame, 1), streaming: streaming}
+		call := &pendingCall{replies: make(chan receivedReply, 1), streaming: streaming}
 		if streaming {
-			call.replies = make(chan frame.Frame, maxBufferedReplies)
+			call.replies = make(chan receivedReply, maxBufferedReplies)
 		}
 		client.pending[client.nextID] = call
 		return client.conn, client.nextID, call, nil, nil
@@ -182,31 +197,37 @@
 	}
 	client.conn = newConn(netConn)
 	client.pending = make(map[uint64]*pendingCall)
-	go client.conn.read(client.deliver)
+	go client.conn.read(client.Memory, client.deliver)
 }
 
 // deliver passes a reply to its pending call. It drops the reply if the call
 // has ended or its buffer is full.
-func (client *Client) deliver(reply frame.Frame) {
+func (client *Client) deliver(reply frame.Frame, release func()) {
 	client.mu.Lock()
+	defer client.mu.Unlock()
 	call := client.pending[reply.Correlation]
-	if call != nil && !call.streaming {
-		delete(client.pending, reply.Correlation)
-	}
-	client.mu.Unlock()
 	if call == nil {
+		release()
 		return
 	}
+	if !call.streaming {
+		delete(client.pending, reply.Correlation)
+	}
 	select {
-	case call.replies <- reply:
+	case call.replies <- receivedReply{reply, release}:
 	default:
+		release()
 	}
 }
 
-func (client *Client) unregister(id uint64) {
+// unregister removes a call. Replies that it did not handle are dropped.
+func (client *Client) unregister(id uint64, call *pendingCall) {
 	client.mu.Lock()
 	defer client.mu.Unlock()
 	delete(client.pending, id)
+	for len(call.replies) > 0 {
+		(<-call.replies).release()
+	}
 }
 
 // Close closes the connection.
--- a/link/conn.go
+++ b/link/conn.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"fescuehall/frame"
+	"fescuehall/quota"
 )
 
 // writeTimeout limits one write, so that a peer that stopped reading does not
@@ -153,15 +154,20 @@
 	return encoded
 }
 
-// read calls handle for each frame until the connection ends.
-func (conn *Conn) read(handle func(frame.Frame)) error {
+// read calls handle for each frame until the connection ends. The function
+// that handle gets releases the frame's memory; it has to be called once the
+// frame was handled.
+func (conn *Conn) read(memory *quota.Quota, handle func(received frame.Frame, release func())) error {
 	reader := bufio.NewReaderSize(conn.net, readBufferBytes)
-	for {
-		received, err := frame.Read(reader)
+	for !conn.closed() {
+		reservation := memory.NewReservation()
+		received, err := frame.ReadWithin(reader, reservation)
 		if err != nil {
+			reservation.Release()
 			conn.close(err)
 			return err
 		}
-		handle(received)
+		handle(received, reservation.Release)
 	}
+	return conn.err
 }
--- a/link/server.go
+++ b/link/server.go
@@ -8,6 +8,7 @@
 	"sync"
 
 	"fescuehall/frame"
+	"fescuehall/quota"
 )
 
 // Reply sends a reply frame of the given type.
@@ -21,11 +22,26 @@
 	// ConnFailed, if not nil, is called when a connection fails other than by
 	// being closed, such as on an invalid frame.
 	ConnFailed func(peer string, err error)
+	// Memory limits the requests that are being read or handled; nil sets no
+	// limit.
+	Memory *quota.Quota
+	// MaxConns is the number of connections above which further ones are closed
+	// at once; 0 sets no limit.
+	MaxConns int
 
 	mu    sync.Mutex
 	conns map[*Conn]bool
 }
 
+// maxRequestsPerConn is the number of requests in flight above which a
+// connection is closed. It is many times what one host sends to another.
+const maxRequestsPerConn = 1024
+
+var (
+	errTooManyConns    = errors.New("too many connections from peers")
+	errTooManyRequests = errors.New("too many requests in flight on one connection")
+)
+
 // Run accepts connections on listener until it is closed.
 func (server *Server) Run(listener net.Listener) error {
 	for {
@@ -46,30 +62,46 @@
 	}
 }
 
-func (server *Server) track(conn *Conn, open bool) {
+// track adds an open connection. It returns false when there are too many.
+func (server *Server) track(conn *Conn) bool {
 	server.mu.Lock()
 	defer server.mu.Unlock()
 	if server.conns == nil {
 		server.conns = make(map[*Conn]bool)
 	}
-	if open {
-		server.conns[conn] = true
-		return
+	if server.MaxConns > 0 && len(server.conns) >= server.MaxConns {
+		return false
 	}
+	server.conns[conn] = true
+	return true
+}
+
+func (server *Server) untrack(conn *Conn) {
+	server.mu.Lock()
+	defer server.mu.Unlock()
 	delete(server.conns, conn)
 }
 
 func (server *Server) serve(conn *Conn) {
-	server.track(conn, true)
-	defer server.track(conn, false)
+	if !server.track(conn) {
+		conn.close(errTooManyConns)
+		server.reportFailure(conn, errTooManyConns)
+		return
+	}
+	defer server.untrack(conn)
 	ctx, cancelAll := context.WithCancel(context.Background())
 	defer cancelAll()
 	session := &session{server: server, conn: conn, ctx: ctx, cancels: make(map[uint64]context.CancelFunc)}
-	err := conn.read(session.receive)
-	if err == io.EOF || errors.Is(err, net.ErrClosed) || server.ConnFailed == nil {
-		return
+	err := conn.read(server.Memory, session.receive)
+	if err != io.EOF && !errors.Is(err, net.ErrClosed) {
+		server.reportFailure(conn, err)
+	}
+}
+
+func (server *Server) reportFailure(conn *Conn, err error) {
+	if server.ConnFailed != nil {
+		server.ConnFailed(conn.net.RemoteAddr().String(), err)
 	}
-	server.ConnFailed(conn.net.RemoteAddr().String(), err)
 }
 
 // session tracks the requests in flight on one connection.
@@ -82,16 +114,25 @@
 	cancels map[uint64]context.CancelFunc
 }
 
-func (session *session) receive(request frame.Frame) {
+func (session *session) receive(request frame.Frame, release func()) {
 	if request.Type == frame.Cancel {
 		session.finish(request.Correlation)
+		release()
 		return
 	}
 	ctx, cancel := context.WithCancel(session.ctx)
 	session.mu.Lock()
 	session.cancels[request.Correlation] = cancel
+	inFlight := len(session.cancels)
 	session.mu.Unlock()
+	if inFlight > maxRequestsPerConn {
+		session.finish(request.Correlation)
+		release()
+		session.conn.close(errTooManyRequests)
+		return
+	}
 	go func() {
+		defer release()
 		defer session.finish(request.Correlation)
 		session.server.Handle(ctx, request, func(kind frame.Type, body []byte) {
 			session.conn.send(session.ctx, outgoing{frame: frame.Frame{Type: kind, Correlation: request.Correlation, Body: body}})
--- a/peer/delegator.go
+++ b/peer/delegator.go
@@ -11,6 +11,7 @@
 	"fescuehall/exchange"
 	"fescuehall/logbook"
 	"fescuehall/message"
+	"fescuehall/quota"
 	"fescuehall/replica"
 	"fescuehall/roster"
 	"fescuehall/route"
@@ -59,6 +60,8 @@
 	Picker *replica.Picker
 	// Suspects records which peers reply late or not at all.
 	Suspects *suspect.Tracker
+	// Memory limits the responses that replicas send for peers' bundles.
+	Memory *quota.Quota
 	// Event logs an event.
 	Event func(event string, fields logbook.Fields)
 }
@@ -208,27 +211,30 @@
 // answer, until the peer cancels the bundle.
 func (delegator *Delegator) Serve(ctx context.Context, request *message.GatherRequest, reply func(*message.GatherReply)) {
 	now := time.Now()
+	memory := delegator.Memory.NewReservation()
+	defer memory.Release()
 	header := make(http.Header, len(request.Header))
 	for _, field := range request.Header {
 		header[field.Name] = append(header[field.Name], field.Value)
 	}
+	bundleRoute := &route.Route{
+		Name:          request.Route,
+		Idempotent:    true,
+		LatencyTarget: time.Duration(request.TargetMicros) * time.Microsecond,
+		MaxAttempts:   request.MaxTries,
+		Rank:          request.Rank,
+		Shards:        request.Shards,
+		TopK:          request.TopK,
+	}
 	answer := delegator.Dispatcher.Serve(ctx, &dispatch.Request{
-		ID: request.RequestID,
-		Route: &route.Route{
-			Name:          request.Route,
-			Idempotent:    true,
-			LatencyTarget: time.Duration(request.TargetMicros) * time.Microsecond,
-			MaxAttempts:   request.MaxTries,
-			Rank:          request.Rank,
-			Shards:        request.Shards,
-			TopK:          request.TopK,
-		},
+		ID:       request.RequestID,
+		Route:    bundleRoute,
 		Received: now.Add(-time.Duration(request.ElapsedMicros) * time.Microsecond),
 		Deadline: now.Add(time.Duration(request.LeftMicros) * time.Microsecond),
 		Report: func(partial *dispatch.Answer) {
 			reply(&message.GatherReply{RequestID: request.RequestID, Receipts: partial.Receipts, Records: partial.Records, More: true})
 		},
-		Content: &exchange.Request{Method: request.Method, Host: request.Host, Target: request.Target, Header: header, Body: request.Body},
+		Content: &exchange.Request{Method: request.Method, Host: request.Host, Target: request.Target, Header: header, Body: request.Body, MaxBodyBytes: bundleRoute.MaxPartBytes(), Memory: memory},
 	})
 	if ctx.Err() != nil {
 		return
--- a/peer/frames.go
+++ b/peer/frames.go
@@ -9,6 +9,7 @@
 	"fescuehall/link"
 	"fescuehall/logbook"
 	"fescuehall/message"
+	"fescuehall/quota"
 	"fescuehall/shard"
 	"fescuehall/verdict"
 )
@@ -23,6 +24,8 @@
 	HandleFeedFetch func(fetch *message.FeedFetch) *message.FeedNews
 	// Event logs a frame or reply that is dropped.
 	Event func(event string, fields logbook.Fields)
+	// Memory limits the replies that are being read or handled; nil sets no limit.
+	Memory *quota.Quota
 
 	// links maps addresses to clients, of type *link.Client.
 	links sync.Map
@@ -93,7 +96,7 @@
 func (wire *Wire) link(address string) *link.Client {
 	client, ok := wire.links.Load(address)
 	if !ok {
-		client, _ = wire.links.LoadOrStore(address, &link.Client{Address: address})
+		client, _ = wire.links.LoadOrStore(address, &link.Client{Address: address, Memory: wire.Memory})
 	}
 	return client.(*link.Client)
 }
--- /dev/null
+++ b/quota/quota.go
@@ -0,0 +1,82 @@
+// Package quota limits the memory that the messages being read on a host take
+// together, so that no number of them exhausts the memory of the process.
+package quota
+
+import (
+	"sync"
+	"sync/atomic"
+)
+
+// Quota is a number of bytes that all reservations share. Set the fields before
+// use.
+type Quota struct {
+	// Bytes is the maximum number of bytes that are reserved at a time.
+	Bytes int64
+	// Exceeded is called with the size of each reservation that is refused, in
+	// bytes; it may be nil.
+	Exceeded func(bytes int)
+
+	used atomic.Int64
+}
+
+// Used returns the number of bytes that are reserved.
+func (quota *Quota) Used() int64 {
+	return quota.used.Load()
+}
+
+func (quota *Quota) take(bytes int) bool {
+	if quota.used.Add(int64(bytes)) <= quota.Bytes {
+		return true
+	}
+	quota.used.Add(-int64(bytes))
+	if quota.Exceeded != nil {
+		quota.Exceeded(bytes)
+	}
+	return false
+}
+
+// NewReservation returns an empty reservation, whose holder has to release it.
+// It returns nil for a nil quota, which sets no limit.
+func (quota *Quota) NewReservation() *Reservation {
+	if quota == nil {
+		return nil
+	}
+	return &Reservation{quota: quota}
+}
+
+// Reservation is the part of a quota that belongs to one request or message. A
+// nil reservation has no limit.
+type Reservation struct {
+	quota *Quota
+
+	mu       sync.Mutex
+	bytes    int
+	released bool
+}
+
+// Reserve adds bytes to the reservation. It returns false when the quota has
+// too few left or when the reservation was released.
+func (reservation *Reservation) Reserve(bytes int) bool {
+	if reservation == nil {
+		return true
+	}
+	reservation.mu.Lock()
+	defer reservation.mu.Unlock()
+	if reservation.released || !reservation.quota.take(bytes) {
+		return false
+	}
+	reservation.bytes += bytes
+	return true
+}
+
+// Release returns the reserved bytes to the quota. Later calls have no effect.
+func (reservation *Reservation) Release() {
+	if reservation == nil {
+		return
+	}
+	reservation.mu.Lock()
+	defer reservation.mu.Unlock()
+	reservation.quota.used.Add(-int64(reservation.bytes))
+	reservation.bytes = 0
+	reservation.released = true
+}
--- a/route/route.go
+++ b/route/route.go
@@ -61,6 +61,23 @@
 	return minimum
 }
 
+// A part of a merged answer may hold more records than the answer.
+// maxPartFactor bounds how many times more, minPartLimit is the least limit.
+const (
+	recordBytes   = 16
+	maxPartFactor = 64
+	minPartLimit  = 64 << 10
+)
+
+// MaxPartBytes returns the maximum length of one shard's part of a merged
+// answer, 0 for a route that does not merge answers.
+func (route *Route) MaxPartBytes() int {
+	if !route.Gathers() {
+		return 0
+	}
+	return max(minPartLimit, maxPartFactor*recordBytes*route.TopK)
+}
+
 // PickService returns the service for a request by weight. The fraction is a
 // random number in [0, 1).
 func (route *Route) PickService(fraction float64) string {
--- a/store/store.go
+++ b/store/store.go
@@ -13,12 +13,16 @@
 	"net/url"
 	"strconv"
 	"time"
+
+	"fescuehall/quota"
 )
 
 const (
 	callTimeout = 2 * time.Second
 	// maxValueBytes is the platform's limit for a value.
 	maxValueBytes = 1 << 20
+	// maxIgnoredBytes limits how much of the reply to a write is read.
+	maxIgnoredBytes = 64 << 10
 )
 
 // Errors of store calls. After any other error of Put, the write may have taken
@@ -77,7 +81,7 @@
 	if err := statusError(response.StatusCode); err != nil {
 		return Value{}, fmt.Errorf("store key %q: %w", key, err)
 	}
-	content, err := io.ReadAll(io.LimitReader(response.Body, maxValueBytes))
+	content, err := quota.ReadAll(response.Body, "value", maxValueBytes, nil)
 	if err != nil {
 		return Value{}, fmt.Errorf("store key %q: %w", key, err)
 	}
@@ -103,7 +107,8 @@
 		return 0, err
 	}
 	defer response.Body.Close()
-	io.Copy(io.Discard, response.Body)
+	// Reading the rest of a short reply lets the connection be reused.
+	_, _ = io.CopyN(io.Discard, response.Body, maxIgnoredBytes)
 	if err := statusError(response.StatusCode); err != nil {
 		return revision(response), fmt.Errorf("store key %q: %w", key, err)
 	}
--- a/verdict/verdict.go
+++ b/verdict/verdict.go
@@ -62,6 +62,8 @@
 	Unreachable      Code = "Unreachable"
 	ConnectionLost   Code = "ConnectionLost"
 	ReplyMismatch    Code = "ReplyMismatch"
+	ReplyTooLarge    Code = "ReplyTooLarge"
+	MemoryExhausted  Code = "MemoryExhausted"
 	BackendError     Code = "BackendError"
 	Cancelled        Code = "Cancelled"
 	LowCoverage      Code = "LowCoverage"
