platform: check what a pause or a stop may have ended before acting on it

Cause, shown by the tests named below, each seen to fail before: - a follower took a reply as old as it was when it was computed, so lists of a host that was paused meanwhile brought back servers that had left (feed.TestFollowerRejectsDelayedReplies).

--- a/backend/client_test.go
+++ b/backend/client_test.go
@@ -1,7 +1,10 @@
 package backend_test
 
 import (
+	"bufio"
 	"context"
+	"encoding/json"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -163,6 +166,62 @@
 	qt.Assert(t, health.Instance, qt.Equals, "a")
 }
 
+// A server sends a second copy of an answer when the connection is in use again.
+// The next search must not get it, and the one after that gets its own answer.
+func TestLateSecondAnswer(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	qt.Assert(t, err, qt.IsNil)
+	defer listener.Close()
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go answerTwice(conn)
+		}
+	}()
+	client := backend.New(listener.Addr().String(), 1, nil)
+	defer client.Close()
+	for number := range 10 {
+		id := fmt.Sprint("search-", number)
+		found, err := client.Search(context.Background(), newSearch(id))
+		if err != nil {
+			qt.Assert(t, verdict.FailureOf(err).Verdict, qt.Equals, verdict.MayHaveRun)
+			continue
+		}
+		qt.Assert(t, found.RequestID, qt.Equals, id)
+	}
+	found, err := client.Search(context.Background(), newSearch("first of a connection"))
+	if err != nil {
+		found, err = client.Search(context.Background(), newSearch("first of a connection"))
+	}
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, found.RequestID, qt.Equals, "first of a connection")
+}
+
+// answerTwice answers each search, and repeats the answer to the previous one
+// when the next arrives.
+func answerTwice(conn net.Conn) {
+	defer conn.Close()
+	reader := bufio.NewReader(conn)
+	previous := ""
+	for {
+		request, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		var search backend.Search
+		if json.NewDecoder(request.Body).Decode(&search) != nil {
+			return
+		}
+		content, _ := json.Marshal(backend.Found{RequestID: search.RequestID, Attempt: search.Attempt, Snapshot: search.Snapshot, Shard: search.Shard})
+		answer := fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(content), content)
+		io.WriteString(conn, previous+answer)
+		previous = answer
+	}
+}
+
 // A server that answers without end is cut off, and the search may have run.
 func TestReplyWithoutEnd(t *testing.T) {
 	const ok = "HTTP/1.1 200 OK\r\n"
--- a/caller/limiter.go
+++ b/caller/limiter.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"time"
 
 	"fescuehall/quota"
 )
@@ -29,6 +30,8 @@
 
 	mu   sync.Mutex
 	open int
+	// lastAccept is when a connection was last accepted.
+	lastAccept time.Time
 	// unused holds the connections without a request so far, idle those between
 	// two requests; the oldest come first.
 	unused list.List
@@ -71,11 +74,20 @@
 	closed bool
 }
 
+// LastAccept returns when a connection was last accepted, the zero time before
+// the first.
+func (limiter *Limiter) LastAccept() time.Time {
+	limiter.mu.Lock()
+	defer limiter.mu.Unlock()
+	return limiter.lastAccept
+}
+
 // add counts a new connection. It returns nil when there are too many and all
 // of them have a request in progress.
 func (limiter *Limiter) add(accepted net.Conn) *limitedConn {
 	limiter.mu.Lock()
 	defer limiter.mu.Unlock()
+	limiter.lastAccept = time.Now()
 	if limiter.open >= limiter.MaxConns && !limiter.closeOne(nil) {
 		limiter.reportClosed(accepted)
 		return nil
--- a/dispatch/attempt.go
+++ b/dispatch/attempt.go
@@ -222,7 +222,7 @@
 	if failure.Verdict != verdict.NotRun && !run.request.Route.Idempotent {
 		return false
 	}
-	if failure.Code == verdict.Cancelled || len(run.candidates(part)) == 0 {
+	if failure.Code == verdict.Cancelled || failure.Code == verdict.Paused || len(run.candidates(part)) == 0 {
 		return false
 	}
 	if failure.Code == verdict.Unreachable {
--- a/dispatch/bundle.go
+++ b/dispatch/bundle.go
@@ -20,6 +20,24 @@
 	// ended is set by the last reply. failure is set when that is a failure.
 	ended   bool
 	failure *verdict.Failure
+	// mismatched is set once a reply held answers that can't belong to the bundle.
+	// Later replies are dropped.
+	mismatched bool
+}
+
+// mismatches reports whether a reply holds more answers than the bundle lacks,
+// or an answer for the second time. The records of such a reply can't be told
+// apart.
+func (sentBundle *sentBundle) mismatches(bundleReply *BundleReply) bool {
+	if len(sentBundle.receipts)+len(bundleReply.Receipts) > len(sentBundle.parts) {
+		return true
+	}
+	for i, receipt := range bundleReply.Receipts {
+		if slices.Contains(sentBundle.receipts, receipt) || slices.Contains(bundleReply.Receipts[:i], receipt) {
+			return true
+		}
+	}
+	return false
 }
 
 // bundleUpdate is one reply of a peer to a bundle.
@@ -66,7 +84,11 @@
 // have not run at the peer are requested directly from their replicas.
 func (run *run) handleBundleUpdate(update bundleUpdate) {
 	sentBundle := update.sentBundle
-	if update.reply.Failure == nil {
+	switch {
+	case update.reply.Failure != nil:
+	case sentBundle.mismatches(update.reply):
+		sentBundle.mismatched = true
+	case !sentBundle.mismatched:
 		run.addBundleReply(sentBundle, update.reply)
 	}
 	if !update.last {
@@ -76,6 +98,9 @@
 	sentBundle.ended = true
 	sentBundle.duration = time.Since(sentBundle.started)
 	sentBundle.failure = update.reply.Failure
+	if sentBundle.mismatched {
+		sentBundle.failure = verdict.New(verdict.MayHaveRun, verdict.ReplyMismatch, "host %s sent answers twice, or more than it was asked for", sentBundle.bundle.Peer)
+	}
 	if sentBundle.failure == nil {
 		run.endOmittedParts(sentBundle)
 		return
@@ -91,9 +116,6 @@
 		run.recordRemoteReply()
 	}
 	for _, receipt := range bundleReply.Receipts {
-		if len(sentBundle.receipts) == len(sentBundle.parts) {
-			break
-		}
 		part := sentBundle.parts[len(sentBundle.receipts)]
 		part.sentBundle = nil
 		part.answeredByPeer = true
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -32,6 +32,10 @@
 	Content *exchange.Request
 	// Received is when the request's header was read.
 	Received time.Time
+	// Pauses is the number of pauses of this process before the request was
+	// received. After a further one, no attempt is sent: the deadline may have
+	// passed although this host's clock does not show it.
+	Pauses uint64
 	// Deadline is the earlier of the caller's deadline and the route's timeout.
 	Deadline time.Time
 	// NetworkDelay is the time that the request and its answer spend on the
--- a/feed/feed.go
+++ b/feed/feed.go
@@ -20,7 +20,7 @@
 type Feed struct {
 	// Name is this host's name.
 	Name string
-	// Now returns the current time.
+	// Now is a clock that also runs while the machine is suspended.
 	Now func() time.Time
 	// Random returns a random number in [0, n). The first sequence is random,
 	// so that sequences of an earlier process of the same host do not match by
@@ -35,6 +35,8 @@
 	sequence       uint64
 	replicasReadAt time.Time
 	hostsReadAt    time.Time
+	// configReadAt is when the store last confirmed the configuration.
+	configReadAt time.Time
 	// hostsSequence is the sequence at which hosts last changed, and removed
 	// maps replicas that are no longer listed to the sequence of their removal.
 	// Removals up to oldestSequence are no longer recorded.
@@ -58,6 +60,13 @@
 	maxFirstSequence = 1 << 62
 )
 
+// ConfirmConfig records that the store holds no newer configuration.
+func (feed *Feed) ConfirmConfig() {
+	feed.mu.Lock()
+	defer feed.mu.Unlock()
+	feed.configReadAt = feed.Now()
+}
+
 // PutConfig stores a configuration that was read, if it is newer than the
 // stored one.
 func (feed *Feed) PutConfig(version uint64, config []byte) {
@@ -145,7 +154,7 @@
 func (feed *Feed) Answer(fetch *message.FeedFetch) *message.FeedNews {
 	feed.mu.Lock()
 	defer feed.mu.Unlock()
-	reply := &message.FeedNews{Version: feed.configVersion, Source: feed.Name, Sequence: feed.sequence, AgeMicros: feed.ageMicros()}
+	reply := &message.FeedNews{Version: feed.configVersion, Source: feed.Name, Sequence: feed.sequence, AgeMicros: feed.ageMicros(), ConfigAgeMicros: feed.age(feed.configReadAt)}
 	if fetch.Version < feed.configVersion {
 		reply.Config = feed.config
 	}
@@ -199,7 +208,16 @@
 	if feed.hostsReadAt.Before(oldest) {
 		oldest = feed.hostsReadAt
 	}
-	return feed.Now().Sub(oldest).Microseconds()
+	return feed.age(oldest)
+}
+
+// age returns the time since a read in microseconds, neverRead for the zero
+// time.
+func (feed *Feed) age(readAt time.Time) int64 {
+	if readAt.IsZero() {
+		return neverRead
+	}
+	return feed.Now().Sub(readAt).Microseconds()
 }
 
 func encodeReplica(replica roster.Replica) message.ListedReplica {
--- a/feed/feed_test.go
+++ b/feed/feed_test.go
@@ -50,6 +50,7 @@
 // readStore records at a host's feed what the host read from the store.
 func (group *group) readStore(name string, replicas ...roster.Replica) {
 	group.feeds[name].PutConfig(7, []byte("config"))
+	group.feeds[name].ConfirmConfig()
 	group.feeds[name].PutReplicas(replicas)
 	group.feeds[name].PutHosts(hosts)
 }
@@ -162,6 +163,45 @@
 	}
 }
 
+// A reply counts as old as it is when it arrives: a host that was paused after
+// it had computed the reply, or before, must not bring back a replica that left
+// meanwhile.
+func TestFollowerRejectsDelayedReplies(t *testing.T) {
+	for _, delay := range []time.Duration{0, 5 * time.Second} {
+		group := newGroup()
+		reader, _, name := group.roles()
+		group.readStore(reader, newReplicas("left")...)
+		follower, received := group.follower(name)
+		sendFetch := follower.SendFetch
+		follower.SendFetch = func(ctx context.Context, host shard.Host, fetch *message.FeedFetch) (*message.FeedNews, error) {
+			reply, err := sendFetch(ctx, host, fetch)
+			group.now = group.now.Add(delay)
+			return reply, err
+		}
+		err := follower.FetchOnce(context.Background())
+		qt.Assert(t, err == nil, qt.Equals, delay == 0)
+		qt.Assert(t, received.replicaUpdates, qt.Equals, map[bool]int{true: 1, false: 0}[delay == 0])
+	}
+}
+
+// A host whose watch of the configuration fails may hold a withdrawn route. A
+// host that starts must not take that configuration from it.
+func TestFollowerRejectsUnconfirmedConfigurations(t *testing.T) {
+	group := newGroup()
+	reader, _, name := group.roles()
+	group.readStore(reader)
+	group.now = group.now.Add(5 * time.Second)
+	group.feeds[reader].PutReplicas(nil)
+	group.feeds[reader].PutHosts(hosts)
+	follower, received := group.follower(name)
+	qt.Assert(t, follower.FetchOnce(context.Background()), qt.IsNotNil)
+	qt.Assert(t, received.configs, qt.Equals, 0)
+	qt.Assert(t, follower.MustReadStore(), qt.IsTrue)
+	group.feeds[reader].ConfirmConfig()
+	qt.Assert(t, follower.FetchOnce(context.Background()), qt.IsNil)
+	qt.Assert(t, received.configs, qt.Equals, 1)
+}
+
 // The reader fetches from no other host while its own reads succeed, and from
 // the others while the store rejects its calls.
 func TestReaderFetchesOnlyWhileReadingFails(t *testing.T) {
--- a/feed/follower.go
+++ b/feed/follower.go
@@ -25,6 +25,11 @@
 	// host. Together with the intervals between reads and between fetches it
 	// stays below the platform's shortest time limit for leaving replicas.
 	maxListAge = 1500 * time.Millisecond
+	// maxConfigAge is the maximum time since the store confirmed a configuration
+	// that is accepted from another host: a watch that found no change, and a
+	// margin. A host whose own watch fails may hold an older configuration than
+	// others were already served with.
+	maxConfigAge = 3 * time.Second
 	// fetchValidity is how long after a successful fetch a host does without
 	// reading the store. The host that is next to be the reader starts reading
 	// sooner, so that the others find recent lists there.
@@ -43,7 +48,7 @@
 	Name string
 	// Domain is this host's failure domain.
 	Domain string
-	// Now returns the current time.
+	// Now is a clock that also runs while the machine is suspended.
 	Now func() time.Time
 	// Hosts returns the hosts on the host list.
 	Hosts func() []shard.Host
@@ -142,13 +147,19 @@
 func (follower *Follower) fetch(ctx context.Context, host shard.Host) error {
 	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
 	defer cancel()
+	sentAt := follower.Now()
 	reply, err := follower.SendFetch(ctx, host, &message.FeedFetch{Version: follower.Version(), Source: follower.source, Sequence: follower.sequence})
 	if err != nil {
 		return err
 	}
-	if age := time.Duration(reply.AgeMicros) * time.Microsecond; reply.AgeMicros == neverRead || age > maxListAge {
+	// The other host may have computed its ages as early as at sentAt.
+	elapsed := follower.Now().Sub(sentAt)
+	if age := time.Duration(reply.AgeMicros)*time.Microsecond + elapsed; reply.AgeMicros == neverRead || age > maxListAge {
 		return fmt.Errorf("host %s has no recent lists, age %v", host.Name, age)
 	}
+	if age := time.Duration(reply.ConfigAgeMicros)*time.Microsecond + elapsed; reply.ConfigAgeMicros == neverRead || age > maxConfigAge {
+		return fmt.Errorf("host %s has no recent configuration, age %v", host.Name, age)
+	}
 	if len(reply.Config) > 0 {
 		if err := follower.ApplyConfig(reply.Config); err != nil {
 			return err
--- a/link/conn.go
+++ b/link/conn.go
@@ -22,6 +22,9 @@
 type outgoing struct {
 	frame frame.Frame
 	state *sendState
+	// written is set instead of a frame; it is closed when all frames before it
+	// were written.
+	written chan struct{}
 }
 
 // sendState tracks whether a frame may have been sent. The writer starts it
@@ -105,38 +108,65 @@
 	return false
 }
 
+// flush waits until the frames in the send queue were written, the connection
+// is closed, or ctx ends.
+func (conn *Conn) flush(ctx context.Context) {
+	written := make(chan struct{})
+	if !conn.send(ctx, outgoing{written: written}) {
+		return
+	}
+	select {
+	case <-written:
+	case <-conn.done:
+	case <-ctx.Done():
+	}
+}
+
 func (conn *Conn) write() {
 	var buf []byte
 	for {
+		var marker chan struct{}
 		select {
 		case <-conn.done:
 			return
 		case outgoing := <-conn.sendQueue:
-			buf = conn.batch(buf[:0], outgoing)
+			buf, marker = conn.batch(buf[:0], outgoing)
 		}
-		if len(buf) == 0 {
-			continue
-		}
-		conn.net.SetWriteDeadline(time.Now().Add(writeTimeout))
-		if _, err := conn.net.Write(buf); err != nil {
+		if err := conn.writeBatch(buf); err != nil {
 			conn.close(err)
 			return
 		}
+		if marker != nil {
+			close(marker)
+		}
+	}
+}
+
+func (conn *Conn) writeBatch(buf []byte) error {
+	if len(buf) == 0 {
+		return nil
 	}
+	conn.net.SetWriteDeadline(time.Now().Add(writeTimeout))
+	_, err := conn.net.Write(buf)
+	return err
 }
 
-// batch encodes outgoing and further queued frames, up to a size limit.
-func (conn *Conn) batch(buf []byte, outgoing outgoing) []byte {
+// batch encodes outgoing and further queued frames, up to a size limit. It ends
+// at a marker of flush, which it returns.
+func (conn *Conn) batch(buf []byte, outgoing outgoing) (batch []byte, marker chan struct{}) {
 	const maxBatchBytes = 64 << 10
 	for {
+		if outgoing.written != nil {
+			return buf, outgoing.written
+		}
 		buf = conn.encode(buf, outgoing)
 		if len(buf) >= maxBatchBytes {
-			return buf
+			return buf, nil
 		}
 		select {
 		case outgoing = <-conn.sendQueue:
 		default:
-			return buf
+			return buf, nil
 		}
 	}
 }
--- a/link/server.go
+++ b/link/server.go
@@ -3,8 +3,11 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
+	"maps"
 	"net"
+	"slices"
 	"sync"
 
 	"fescuehall/frame"
@@ -31,6 +34,10 @@
 
 	mu    sync.Mutex
 	conns map[*Conn]bool
+	// inFlight counts the requests that are being handled. idle is closed when
+	// the last one ends, and nil unless Shutdown waits for that.
+	inFlight int
+	idle     chan struct{}
 }
 
 // maxRequestsPerConn is the number of requests in flight above which a
@@ -54,6 +61,46 @@
 	}
 }
 
+// Shutdown waits until no request is being handled and all replies were written,
+// and then closes the connections. Requests are accepted meanwhile; Handle has
+// to refuse them. The error is that of ctx if it ends first.
+func (server *Server) Shutdown(ctx context.Context) error {
+	defer server.closeAll()
+	server.mu.Lock()
+	idle := make(chan struct{})
+	if server.idle = idle; server.inFlight == 0 {
+		close(idle)
+		server.idle = nil
+	}
+	conns := slices.Collect(maps.Keys(server.conns))
+	server.mu.Unlock()
+	select {
+	case <-idle:
+	case <-ctx.Done():
+		return fmt.Errorf("requests of peers were in flight: %w", ctx.Err())
+	}
+	for _, conn := range conns {
+		conn.flush(ctx)
+	}
+	return nil
+}
+
+// begin counts a request that is being handled, end one that was handled.
+func (server *Server) begin() {
+	server.mu.Lock()
+	defer server.mu.Unlock()
+	server.inFlight++
+}
+
+func (server *Server) end() {
+	server.mu.Lock()
+	defer server.mu.Unlock()
+	if server.inFlight--; server.inFlight == 0 && server.idle != nil {
+		close(server.idle)
+		server.idle = nil
+	}
+}
+
 func (server *Server) closeAll() {
 	server.mu.Lock()
 	defer server.mu.Unlock()
@@ -131,7 +178,9 @@
 		session.conn.close(errTooManyRequests)
 		return
 	}
+	session.server.begin()
 	go func() {
+		defer session.server.end()
 		defer release()
 		defer session.finish(request.Correlation)
 		session.server.Handle(ctx, request, func(kind frame.Type, body []byte) {
--- a/message/message.go
+++ b/message/message.go
@@ -61,6 +61,10 @@
 	// version.
 	Config []byte `json:"Config"`
 
+	// Time since the store last confirmed the configuration, in microseconds, -1 if
+	// it never did.
+	ConfigAgeMicros int64 `json:"ConfigAgeMicros"`
+
 	// IDs of the replicas that were removed since the requesting host's lists.
 	Gone []string `json:"Gone"`
 
--- a/message/message_gen.go
+++ b/message/message_gen.go
@@ -388,13 +388,16 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *FeedNews) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 12
+	// map header, size 13
 	// string "AgeMicros"
-	o = append(o, 0x8c, 0xa9, 0x41, 0x67, 0x65, 0x4d, 0x69, 0x63, 0x72, 0x6f, 0x73)
+	o = append(o, 0x8d, 0xa9, 0x41, 0x67, 0x65, 0x4d, 0x69, 0x63, 0x72, 0x6f, 0x73)
 	o = msgp.AppendInt64(o, z.AgeMicros)
 	// string "Config"
 	o = append(o, 0xa6, 0x43, 0x6f, 0x6e, 0x66, 0x69, 0x67)
 	o = msgp.AppendBytes(o, z.Config)
+	// string "ConfigAgeMicros"
+	o = append(o, 0xaf, 0x43, 0x6f, 0x6e, 0x66, 0x69, 0x67, 0x41, 0x67, 0x65, 0x4d, 0x69, 0x63, 0x72, 0x6f, 0x73)
+	o = msgp.AppendInt64(o, z.ConfigAgeMicros)
 	// string "Gone"
 	o = append(o, 0xa4, 0x47, 0x6f, 0x6e, 0x65)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Gone)))
@@ -482,6 +485,12 @@
 				err = msgp.WrapError(err, "Config")
 				return
 			}
+		case "ConfigAgeMicros":
+			z.ConfigAgeMicros, bts, err = msgp.ReadInt64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "ConfigAgeMicros")
+				return
+			}
 		case "Gone":
 			var zb0002 uint32
 			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
@@ -608,7 +617,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *FeedNews) Msgsize() (s int) {
-	s = 1 + 10 + msgp.Int64Size + 7 + msgp.BytesPrefixSize + len(z.Config) + 5 + msgp.ArrayHeaderSize
+	s = 1 + 10 + msgp.Int64Size + 7 + msgp.BytesPrefixSize + len(z.Config) + 16 + msgp.Int64Size + 5 + msgp.ArrayHeaderSize
 	for za0001 := range z.Gone {
 		s += msgp.StringPrefixSize + len(z.Gone[za0001])
 	}
--- a/peer/delegator.go
+++ b/peer/delegator.go
@@ -17,6 +17,7 @@
 	"fescuehall/route"
 	"fescuehall/shard"
 	"fescuehall/suspect"
+	"fescuehall/verdict"
 )
 
 const (
@@ -60,6 +61,10 @@
 	Picker *replica.Picker
 	// Suspects records which peers reply late or not at all.
 	Suspects *suspect.Tracker
+	// Pauses returns the number of pauses of this process so far.
+	Pauses func() uint64
+	// Refuses returns why this host gathers no bundles, nil when it does.
+	Refuses func() *verdict.Failure
 	// Memory limits the responses that replicas send for peers' bundles.
 	Memory *quota.Quota
 	// Event logs an event.
@@ -210,6 +215,10 @@
 // replies with the answers of the shards so far, and then with each further
 // answer, until the peer cancels the bundle.
 func (delegator *Delegator) Serve(ctx context.Context, request *message.GatherRequest, reply func(*message.GatherReply)) {
+	if failure := delegator.Refuses(); failure != nil {
+		reply(&message.GatherReply{RequestID: request.RequestID, Verdict: int(failure.Verdict), Code: string(failure.Code), Detail: failure.Detail})
+		return
+	}
 	now := time.Now()
 	memory := delegator.Memory.NewReservation()
 	defer memory.Release()
@@ -229,6 +238,7 @@
 	answer := delegator.Dispatcher.Serve(ctx, &dispatch.Request{
 		ID:       request.RequestID,
 		Route:    bundleRoute,
+		Pauses:   delegator.Pauses(),
 		Received: now.Add(-time.Duration(request.ElapsedMicros) * time.Microsecond),
 		Deadline: now.Add(time.Duration(request.LeftMicros) * time.Microsecond),
 		Report: func(partial *dispatch.Answer) {
--- a/peer/peer_test.go
+++ b/peer/peer_test.go
@@ -64,6 +64,8 @@
 		Ejected:  func(string) bool { return false },
 		Picker:   replica.New(),
 		Suspects: &suspect.Tracker{Now: time.Now},
+		Pauses:   func() uint64 { return 0 },
+		Refuses:  func() *verdict.Failure { return nil },
 		Event:    func(string, logbook.Fields) {},
 	}
 }
@@ -234,6 +236,17 @@
 	qt.Assert(t, list.BudgetHosts(), qt.Equals, 4)
 }
 
+// A host that stops, or was paused, refuses bundles as not run, so that their
+// shards are requested from the replicas.
+func TestRefusedBundle(t *testing.T) {
+	delegator := newDelegator(nil)
+	delegator.Refuses = func() *verdict.Failure { return verdict.New(verdict.NotRun, verdict.Stopping, "host h0-0 stops") }
+	var replies []*message.GatherReply
+	delegator.Serve(t.Context(), &message.GatherRequest{RequestID: "r", Shards: []string{"s1"}}, func(reply *message.GatherReply) { replies = append(replies, reply) })
+	qt.Assert(t, replies, qt.HasLen, 1)
+	qt.Assert(t, *replies[0], qt.DeepEquals, message.GatherReply{RequestID: "r", Verdict: int(verdict.NotRun), Code: string(verdict.Stopping), Detail: "host h0-0 stops"})
+}
+
 // Messages between two hosts arrive as they were sent. A request to a host that
 // is down fails with a verdict that it has not run.
 func TestWire(t *testing.T) {
--- a/verdict/verdict.go
+++ b/verdict/verdict.go
@@ -70,6 +70,7 @@
 	StoreUnavailable Code = "StoreUnavailable"
 	NotReady         Code = "NotReady"
 	Stopping         Code = "Stopping"
+	Paused           Code = "Paused"
 	NoReplica        Code = "NoReplica"
 	Misplaced        Code = "Misplaced"
 	CallerLeft       Code = "CallerLeft"
