dispatch: request the shards of a silent peer from their replicas

A peer counted as silent only three targets and 150 ms after the request, and its shards were left out, although the requests may run twice.

Change: a bundle whose peer has sent nothing to any request since, 100 ms after the answer was due, is given up; its shards are requested from replicas outside of the peer's domain, from the retry budget, if the service has no more replicas than the route has attempts, which the peer may have used. So after a lost connection. retry.Budget is full before the first sub-request as well: bundled services had no token.

--- a/dispatch/attempt.go
+++ b/dispatch/attempt.go
@@ -39,6 +39,9 @@
 	sentBundle *sentBundle
 	// answeredByPeer is set when a peer's reply holds an answer for the part.
 	answeredByPeer bool
+	// avoidDomain is the failure domain of a peer that is silent; replicas in other
+	// domains are preferred.
+	avoidDomain string
 	// omittedBy names the peer whose replies hold too few answers. Only their
 	// number is known, not which shards are missing, so this may be another
 	// part than the one that the peer could not answer.
@@ -94,15 +97,22 @@
 // candidates returns the replicas that were not sent an attempt of the part.
 func (run *run) candidates(part *part) []roster.Replica {
 	all := run.dispatcher.Replicas(part.service)
-	if len(part.attempted) == 0 {
+	if len(part.attempted) == 0 && part.avoidDomain == "" {
 		return all
 	}
-	var remaining []roster.Replica
+	var remaining, avoided []roster.Replica
 	for _, replica := range all {
-		if !part.attempted[replica.ID] {
+		switch {
+		case part.attempted[replica.ID]:
+		case part.avoidDomain != "" && replica.FailureDomain == part.avoidDomain:
+			avoided = append(avoided, replica)
+		default:
 			remaining = append(remaining, replica)
 		}
 	}
+	if len(remaining) == 0 {
+		return avoided
+	}
 	return remaining
 }
 
--- a/dispatch/bundle.go
+++ b/dispatch/bundle.go
@@ -1,6 +1,8 @@
 package dispatch
 
 import (
+	"context"
+	"errors"
 	"fmt"
 	"slices"
 	"time"
@@ -8,12 +10,27 @@
 	"fescuehall/verdict"
 )
 
+// ErrSilent is the cause with which a bundle is cancelled when its peer does not
+// reply.
+var ErrSilent = errors.New("the peer sends nothing")
+
+// silenceMargin is the time after the answer was due from which a peer that has
+// sent nothing counts as silent. A working peer reports before, even without
+// any part; a small one may lack its processor for up to 100 ms.
+const silenceMargin = 100 * time.Millisecond
+
 // sentBundle is a bundle that was sent to its peer, with the replies so far.
 type sentBundle struct {
 	bundle   Bundle
 	parts    []*part
+	cancel   context.CancelCauseFunc
 	started  time.Time
 	duration time.Duration
+	// replied is set by the peer's first reply. silenceChecked is set once the peer
+	// was checked for silence, abandoned when it was given up.
+	replied        bool
+	silenceChecked bool
+	abandoned      bool
 	// receipts and records are the contents of the peer's replies so far.
 	receipts []string
 	records  [][]byte
@@ -62,8 +79,11 @@
 			run.remoteRequests += len(sentBundle.parts)
 		}
 		run.inFlight++
+		ctx, cancel := context.WithCancelCause(run.bundleCtx)
+		sentBundle.cancel = cancel
 		go func() {
-			last := run.dispatcher.Delegate(run.bundleCtx, run.request, bundle, func(bundleReply *BundleReply) {
+			defer cancel(nil)
+			last := run.dispatcher.Delegate(ctx, run.request, bundle, func(bundleReply *BundleReply) {
 				run.queueBundleUpdate(bundleUpdate{sentBundle: sentBundle, reply: bundleReply})
 			})
 			run.queueBundleUpdate(bundleUpdate{sentBundle: sentBundle, reply: last, last: true})
@@ -84,6 +104,13 @@
 // have not run at the peer are requested directly from their replicas.
 func (run *run) handleBundleUpdate(update bundleUpdate) {
 	sentBundle := update.sentBundle
+	if sentBundle.abandoned {
+		if update.last {
+			run.inFlight--
+		}
+		return
+	}
+	sentBundle.replied = true
 	switch {
 	case update.reply.Failure != nil:
 	case sentBundle.mismatches(update.reply):
@@ -138,8 +165,8 @@
 }
 
 // handleBundleFailure requests the parts of a failed bundle directly from their
-// replicas if the bundle has not run, and ends them without an answer
-// otherwise.
+// replicas. Parts that may have run at the peer are requested only if that stays
+// within the route's attempts; otherwise they end without an answer.
 func (run *run) handleBundleFailure(sentBundle *sentBundle) {
 	for index, part := range run.parts {
 		if part.sentBundle != sentBundle {
@@ -148,16 +175,84 @@
 		part.sentBundle = nil
 		part.worstVerdict = max(part.worstVerdict, sentBundle.failure.Verdict)
 		part.lastFailure = &Reply{Failure: sentBundle.failure}
-		if sentBundle.failure.Verdict == verdict.NotRun && len(sentBundle.receipts) == 0 {
-			run.dispatcher.budget(part.service).RecordFirst(1)
-			if run.startAttempt(index, false) {
-				continue
-			}
+		if len(sentBundle.receipts) == 0 && run.requestDirectly(index, sentBundle) {
+			continue
 		}
 		run.endUnanswered(part)
 	}
 }
 
+// requestDirectly sends an attempt of a part after its bundle has failed. It
+// returns false when none may be sent.
+func (run *run) requestDirectly(index int, sentBundle *sentBundle) bool {
+	part := run.parts[index]
+	budget := run.dispatcher.budget(part.service)
+	if sentBundle.failure.Verdict == verdict.NotRun {
+		budget.RecordFirst(1)
+		return run.startAttempt(index, false)
+	}
+	if !run.repeatable(part, sentBundle) || !budget.Take() {
+		return false
+	}
+	part.mayHaveRun++
+	if sentBundle.bundle.Remote {
+		part.avoidDomain = sentBundle.bundle.Domain
+	}
+	run.retries++
+	return run.startAttempt(index, false)
+}
+
+// repeatable reports whether a part may be requested once more although it may
+// have run at a peer. The peer may have tried any replicas, as many as the route
+// allows, so the service must not have more than these.
+func (run *run) repeatable(part *part, sentBundle *sentBundle) bool {
+	maxAttempts := run.request.Route.MaxAttempts
+	switch sentBundle.failure.Code {
+	case verdict.Silent, verdict.ConnectionLost:
+		replicas := len(run.dispatcher.Replicas(part.service))
+		return maxAttempts > 1 && replicas > 0 && replicas <= maxAttempts
+	}
+	return false
+}
+
+// silenceAt returns the time at which a bundle's peer counts as silent.
+func (run *run) silenceAt() time.Time {
+	return run.partialAt.Add(silenceMargin)
+}
+
+// awaitsSilenceCheck reports whether a bundle has to be checked for silence.
+func (sentBundle *sentBundle) awaitsSilenceCheck() bool {
+	return !sentBundle.replied && !sentBundle.ended && !sentBundle.silenceChecked
+}
+
+// abandonSilentBundles gives up the bundles whose peers have sent nothing, to
+// this or to another request, since the bundle was sent. It does so only for
+// bundles whose parts can be requested from their replicas instead.
+func (run *run) abandonSilentBundles(now time.Time) {
+	if run.partialAt.IsZero() || now.Before(run.silenceAt()) {
+		return
+	}
+	for _, sentBundle := range run.sentBundles {
+		if !sentBundle.awaitsSilenceCheck() {
+			continue
+		}
+		sentBundle.silenceChecked = true
+		heardFrom := run.dispatcher.HeardFrom
+		if heardFrom != nil && heardFrom(sentBundle.bundle.Peer, sentBundle.started) {
+			continue
+		}
+		sentBundle.failure = verdict.New(verdict.MayHaveRun, verdict.Silent, "host %s sends nothing", sentBundle.bundle.Peer)
+		if slices.ContainsFunc(sentBundle.parts, func(part *part) bool { return !run.repeatable(part, sentBundle) }) {
+			sentBundle.failure = nil
+			continue
+		}
+		sentBundle.abandoned, sentBundle.ended = true, true
+		sentBundle.duration = time.Since(sentBundle.started)
+		sentBundle.cancel(ErrSilent)
+		run.handleBundleFailure(sentBundle)
+	}
+}
+
 // summary describes the bundle's outcome for the log.
 func (sentBundle *sentBundle) summary() string {
 	switch {
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -76,6 +76,8 @@
 type Bundle struct {
 	Peer   string
 	Shards []string
+	// Domain is the peer's failure domain.
+	Domain string
 	// Remote is set when the peer is in another failure domain.
 	Remote bool
 }
@@ -147,8 +149,12 @@
 	Plan func(shards []string) []Bundle
 	// Delegate requests a bundle from a peer. It calls report with each reply
 	// before the last one, and returns the last. It always returns, at the latest
-	// shortly after ctx has ended.
+	// shortly after ctx has ended. The cause of ctx is ErrSilent when the peer is
+	// given up as silent.
 	Delegate func(ctx context.Context, request *Request, bundle Bundle, report func(*BundleReply)) *BundleReply
+	// HeardFrom reports whether a peer has sent anything since a time. It may be
+	// nil, which means that it has not.
+	HeardFrom func(peer string, since time.Time) bool
 	// Hosts returns the number of hosts that share the budget of extra requests.
 	Hosts func() int
 	// Picker chooses among replicas, by their IDs.
--- a/dispatch/run.go
+++ b/dispatch/run.go
@@ -133,6 +133,7 @@
 		case update := <-run.bundleUpdates:
 			run.handleBundleUpdate(update)
 		case <-timer.C:
+			run.abandonSilentBundles(time.Now())
 			run.hedgeLateParts(time.Now())
 		case <-ctx.Done():
 			return true
@@ -217,6 +218,9 @@
 	if !run.partialAt.IsZero() && run.partialAt.Before(next) && time.Now().Before(run.partialAt) {
 		next = run.partialAt
 	}
+	if !run.partialAt.IsZero() && run.silenceAt().Before(next) && slices.ContainsFunc(run.sentBundles, (*sentBundle).awaitsSilenceCheck) {
+		next = run.silenceAt()
+	}
 	if !run.reportedAt.IsZero() && run.nextReportAt().Before(next) && run.hasUnreported() {
 		next = run.nextReportAt()
 	}
--- a/link/client.go
+++ b/link/client.go
@@ -37,6 +37,8 @@
 	dialErr  error
 	pending  map[uint64]*pendingCall
 	nextID   uint64
+	// lastReceived is when a reply last arrived.
+	lastReceived time.Time
 }
 
 // maxBufferedReplies is the number of unhandled replies to one streaming
@@ -205,6 +207,7 @@
 func (client *Client) deliver(reply frame.Frame, release func()) {
 	client.mu.Lock()
 	defer client.mu.Unlock()
+	client.lastReceived = time.Now()
 	call := client.pending[reply.Correlation]
 	if call == nil {
 		release()
@@ -220,6 +223,14 @@
 	}
 }
 
+// LastReceived returns when a reply to any request last arrived, the zero time
+// before the first.
+func (client *Client) LastReceived() time.Time {
+	client.mu.Lock()
+	defer client.mu.Unlock()
+	return client.lastReceived
+}
+
 // unregister removes a call. Replies that it did not handle are dropped.
 func (client *Client) unregister(id uint64, call *pendingCall) {
 	client.mu.Lock()
--- a/peer/delegation.go
+++ b/peer/delegation.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"slices"
 	"time"
 
@@ -36,7 +37,7 @@
 func (delegator *Delegator) Delegate(ctx context.Context, request *dispatch.Request, bundle dispatch.Bundle, report func(*dispatch.BundleReply)) *dispatch.BundleReply {
 	delegation := &delegation{request: request, bundle: bundle, report: report, startedAt: time.Now()}
 	lastReply, failure := delegator.send(ctx, delegation)
-	delegator.recordOutcome(delegation, failure, ctx.Err() != nil)
+	delegator.recordOutcome(delegation, failure, ctx.Err() != nil && !errors.Is(context.Cause(ctx), dispatch.ErrSilent))
 	if failure != nil {
 		return &dispatch.BundleReply{Failure: failure}
 	}
--- a/peer/delegator.go
+++ b/peer/delegator.go
@@ -94,7 +94,7 @@
 		}
 		for group := range slices.Chunk(covered, maxShardsPerHost) {
 			bundle := delegator.newBundle(peers[domain], group)
-			bundle.Remote = true
+			bundle.Domain, bundle.Remote = domain, true
 			bundles = append(bundles, bundle)
 		}
 		delete(peers, domain)
@@ -112,7 +112,9 @@
 	size := (len(local) + groups - 1) / groups
 	var bundles []dispatch.Bundle
 	for group := range slices.Chunk(local[size:], size) {
-		bundles = append(bundles, delegator.newBundle(peers, group))
+		bundle := delegator.newBundle(peers, group)
+		bundle.Domain = delegator.Domain
+		bundles = append(bundles, bundle)
 	}
 	return bundles
 }
--- a/peer/frames.go
+++ b/peer/frames.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"sync"
+	"time"
 
 	"fescuehall/frame"
 	"fescuehall/link"
@@ -93,6 +94,11 @@
 	return err
 }
 
+// HeardFrom reports whether a host has sent a reply since a time.
+func (wire *Wire) HeardFrom(host shard.Host, since time.Time) bool {
+	return wire.link(host.Address).LastReceived().After(since)
+}
+
 func (wire *Wire) link(address string) *link.Client {
 	client, ok := wire.links.Load(address)
 	if !ok {
--- a/retry/retry.go
+++ b/retry/retry.go
@@ -64,6 +64,7 @@
 func (budget *Budget) Take() bool {
 	budget.mu.Lock()
 	defer budget.mu.Unlock()
+	budget.fillOnce()
 	if !budget.spend() {
 		budget.denied++
 		return false
--- a/retry/retry_test.go
+++ b/retry/retry_test.go
@@ -88,3 +88,12 @@
 	withoutRandom.RecordFirst(10)
 	qt.Assert(t, withoutRandom.Take(), qt.IsFalse)
 }
+
+// A host may need an extra sub-request to a service before it has sent the
+// first one, which a peer sends on its behalf.
+func TestBudgetIsFullBeforeTheFirstSubRequest(t *testing.T) {
+	budget := &retry.Budget{Ratio: 0.2, Burst: 2, StartFull: true}
+	qt.Assert(t, []bool{budget.Take(), budget.Take(), budget.Take()}, qt.DeepEquals, []bool{true, true, false})
+	budget.RecordFirst(1)
+	qt.Assert(t, budget.Take(), qt.IsFalse)
+}
--- a/verdict/verdict.go
+++ b/verdict/verdict.go
@@ -60,6 +60,7 @@
 	Draining         Code = "Draining"
 	SnapshotMissing  Code = "SnapshotMissing"
 	Unreachable      Code = "Unreachable"
+	Silent           Code = "Silent"
 	ConnectionLost   Code = "ConnectionLost"
 	ReplyMismatch    Code = "ReplyMismatch"
 	ReplyTooLarge    Code = "ReplyTooLarge"
