quota: keep a reservation until its last attempt has ended

Cause: an attempt that lost to a faster one ends up to 10 ms after its request was answered, when the request's memory had been released.

Change: attempts hold the reservation too; the bytes return with the last holder. Test: exchange.TestResponseAfterTheRequestHasEnded, failing before.

--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -64,6 +64,12 @@
 		pool.put(conn)
 		return nil, err
 	}
+	// The response may arrive after the one that answers the caller's request.
+	if !request.Memory.Hold() {
+		pool.put(conn)
+		return nil, verdict.New(verdict.NotRun, verdict.Cancelled, "the request to %s has ended", address)
+	}
+	defer request.Memory.Release()
 	stop := conn.bindTo(ctx)
 	response, reusable, err := pool.roundTrip(conn, request)
 	interrupted := !stop()
--- a/exchange/limit_test.go
+++ b/exchange/limit_test.go
@@ -1,6 +1,7 @@
 package exchange_test
 
 import (
+	"bufio"
 	"context"
 	"fmt"
 	"io"
@@ -9,6 +10,7 @@
 	"runtime"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -233,6 +235,45 @@
 	qt.Assert(t, shared.Used(), qt.Equals, int64(0))
 }
 
+// A response that arrives after its request was answered by another one is
+// complete, and its connection is kept.
+func TestResponseAfterTheRequestHasEnded(t *testing.T) {
+	shared := &quota.Quota{Bytes: 1 << 20}
+	received, release := make(chan bool, 1), make(chan bool)
+	var opened atomic.Int32
+	address := startServer(t, func(_ int, conn net.Conn, reader *bufio.Reader) {
+		opened.Add(1)
+		for {
+			request, err := http.ReadRequest(reader)
+			if err != nil {
+				return
+			}
+			received <- true
+			<-release
+			io.WriteString(conn, response(request.Header.Get("Id"), "x"))
+		}
+	})
+	pool := pool()
+	reservation := shared.NewReservation()
+	ended := make(chan error, 1)
+	go func() {
+		_, err := pool.Do(context.Background(), address, 1, func() (*exchange.Request, error) {
+			loser := request("1")
+			loser.Memory = reservation
+			return loser, nil
+		})
+		ended <- err
+	}()
+	<-received
+	reservation.Release()
+	close(release)
+	qt.Assert(t, <-ended, qt.IsNil)
+	qt.Assert(t, shared.Used(), qt.Equals, int64(0))
+	_, err := do(pool, address, "2")
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, opened.Load(), qt.Equals, int32(1))
+}
+
 // FuzzResponse checks that no response makes the pool read more than its limits
 // allow, nor return a body that is longer than the request allows.
 func FuzzResponse(f *testing.F) {
--- a/quota/quota.go
+++ b/quota/quota.go
@@ -41,7 +41,7 @@
 	if quota == nil {
 		return nil
 	}
-	return &Reservation{quota: quota}
+	return &Reservation{quota: quota, holders: 1}
 }
 
 // Reservation is the part of a quota that belongs to one request or message. A
@@ -49,34 +49,54 @@
 type Reservation struct {
 	quota *Quota
 
-	mu       sync.Mutex
-	bytes    int
-	released bool
+	mu      sync.Mutex
+	bytes   int
+	holders int
 }
 
 // Reserve adds bytes to the reservation. It returns false when the quota has
-// too few left or when the reservation was released.
+// too few left or when all holders have released the reservation.
 func (reservation *Reservation) Reserve(bytes int) bool {
 	if reservation == nil {
 		return true
 	}
 	reservation.mu.Lock()
 	defer reservation.mu.Unlock()
-	if reservation.released || !reservation.quota.take(bytes) {
+	if reservation.holders == 0 || !reservation.quota.take(bytes) {
 		return false
 	}
 	reservation.bytes += bytes
 	return true
 }
 
-// Release returns the reserved bytes to the quota. Later calls have no effect.
+// Hold adds a holder, such as an attempt that may end after its request. It
+// returns false when all holders have released the reservation.
+func (reservation *Reservation) Hold() bool {
+	if reservation == nil {
+		return true
+	}
+	reservation.mu.Lock()
+	defer reservation.mu.Unlock()
+	if reservation.holders == 0 {
+		return false
+	}
+	reservation.holders++
+	return true
+}
+
+// Release ends the use by one holder. The bytes return to the quota after the
+// last one.
 func (reservation *Reservation) Release() {
 	if reservation == nil {
 		return
 	}
 	reservation.mu.Lock()
 	defer reservation.mu.Unlock()
-	reservation.quota.used.Add(-int64(reservation.bytes))
-	reservation.bytes = 0
-	reservation.released = true
+	if reservation.holders == 0 {
+		return
+	}
+	if reservation.holders--; reservation.holders == 0 {
+		reservation.quota.used.Add(-int64(reservation.bytes))
+		reservation.bytes = 0
+	}
 }
--- a/quota/quota_test.go
+++ b/quota/quota_test.go
@@ -35,6 +35,18 @@
 	qt.Assert(t, shared.Used(), qt.Equals, int64(0))
 }
 
+// The bytes stay reserved until the last holder has released them.
+func TestHold(t *testing.T) {
+	shared := &quota.Quota{Bytes: 100}
+	reservation := shared.NewReservation()
+	qt.Assert(t, reservation.Hold(), qt.IsTrue)
+	reservation.Release()
+	qt.Assert(t, reservation.Reserve(60), qt.IsTrue)
+	reservation.Release()
+	qt.Assert(t, shared.Used(), qt.Equals, int64(0))
+	qt.Assert(t, reservation.Hold(), qt.IsFalse)
+}
+
 func TestNilReservationHasNoLimit(t *testing.T) {
 	var reservation *quota.Reservation
 	qt.Assert(t, reservation.Reserve(1<<40), qt.IsTrue)
