dispatch: refuse a request at once when too few shards have a replica

Ruled out: waiting for a replica to register, which takes longer than most requests have.

Change: the shards' replicas are counted before anything is sent; the refusal is NotRun, with the time until the list is read again.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -266,6 +266,21 @@
 	return localShards < route.MinShards()
 }
 
+// servable reports whether enough shards of a gathered request have a replica
+// that accepts requests. Any other request finds that out by its only attempt.
+func (dispatcher *Dispatcher) servable(route *route.Route) bool {
+	if !route.Gathers() {
+		return true
+	}
+	missing := 0
+	for _, shard := range route.Shards {
+		if len(dispatcher.Replicas(shard)) == 0 {
+			missing++
+		}
+	}
+	return len(route.Shards)-missing >= route.MinShards()
+}
+
 // trackTarget reports to the throttle whether a request was answered in time. A
 // late request is reported as soon as its target has passed, since it may run
 // for much longer. done has to be called when the request has been answered.
@@ -289,6 +304,9 @@
 	if dispatcher.isolated(request.Route) {
 		return run.refuseIsolated()
 	}
+	if !dispatcher.servable(request.Route) {
+		return run.refuseUnservable()
+	}
 	// The peer has already admitted a request that it sends here.
 	if !request.fromPeer() {
 		throttle := dispatcher.throttle(run.parts[0].service)
--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -173,7 +173,7 @@
 		{name: "a late shard is left out at the target", minShare: 0.75, respond: slowReplicas("s2"), answered: 3, within: target},
 		{name: "a late shard that is needed delays the answer", minShare: 1, respond: slowReplicas("s2"), answered: 4, within: 410 * time.Millisecond},
 		{name: "a shard without replicas is left out at once", minShare: 0.75, emptyService: "s1", answered: 3, within: 10 * time.Millisecond},
-		{name: "a shard without replicas that is needed fails the request", minShare: 1, emptyService: "s1", within: 10 * time.Millisecond, verdict: verdict.MayHaveRun},
+		{name: "a shard without replicas that is needed fails the request", minShare: 1, emptyService: "s1", within: 10 * time.Millisecond, verdict: verdict.NotRun},
 		{name: "all replicas refuse", minShare: 0.25, respond: func(string, int) (time.Duration, *verdict.Failure) {
 			return time.Millisecond, newFailure(verdict.NotRun, verdict.Shed)
 		}, within: 10 * time.Millisecond, verdict: verdict.NotRun},
--- a/dispatch/silence_test.go
+++ b/dispatch/load_test.go
@@ -44,6 +44,35 @@
 	})
 }
 
+// Load pattern: all replicas of more shards than an answer may lack are gone. The
+// request is refused at once as not run, and loads no replica of the others.
+func TestUnservableRequestIsRefusedAtOnce(t *testing.T) {
+	tests := []struct {
+		name     string
+		minShare float64
+		refused  bool
+	}{
+		{name: "the answer may lack the shard", minShare: 0.75},
+		{name: "the answer may not lack the shard", minShare: 0.8, refused: true},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				fakeReplicas := &fakeReplicas{emptyService: "s2"}
+				answer := newDispatcher(fakeReplicas).Serve(t.Context(), newRequest(gatherRoute(4, test.minShare)))
+				if !test.refused {
+					qt.Assert(t, answer.Failure == nil, qt.IsTrue)
+					return
+				}
+				qt.Assert(t, answer.Failure.Verdict, qt.Equals, verdict.NotRun)
+				qt.Assert(t, answer.RetryAfter > 0, qt.IsTrue)
+				qt.Assert(t, fakeReplicas.attemptCount("s"), qt.Equals, 0)
+				time.Sleep(time.Second)
+			})
+		})
+	}
+}
+
 // Load pattern: a failure domain is cut off without a reset, or a host loses
 // power. The bundles at its hosts are never answered. Their shards are requested
 // from the other replicas, within the route's attempts and the budget.
--- a/dispatch/result.go
+++ b/dispatch/result.go
@@ -41,6 +41,20 @@
 	return &Answer{Failure: verdict.New(verdict.NotRun, verdict.Unreachable, "no other failure domain can be reached"), RetryAfter: isolatedRetryAfter}
 }
 
+// unservableRetryAfter is the delay after which the caller may retry a request
+// whose shards have too few replicas: the time in which the list of replicas is
+// read again.
+const unservableRetryAfter = 800 * time.Millisecond
+
+// refuseUnservable answers a request that can't be served because too few of its
+// shards have a replica that accepts requests.
+func (run *run) refuseUnservable() *Answer {
+	run.cancel()
+	run.observe("unservable", time.Now())
+	run.dispatcher.Event("unservable", logbook.Fields{"id": run.request.ID, "route": run.request.Route.Name, "rank": run.request.Route.Rank, "version": run.request.Version})
+	return &Answer{Failure: verdict.New(verdict.NotRun, verdict.NoReplica, "too few shards have a replica that accepts requests"), RetryAfter: unservableRetryAfter}
+}
+
 // answer returns the answer to the request.
 func (run *run) answer(callerLeft bool) *Answer {
 	if callerLeft {
--- a/story/story.go
+++ b/story/story.go
@@ -23,6 +23,10 @@
 	// isolated is set while the host reaches no other failure domain.
 	isolated bool
 	stopping bool
+	// pausedAt is when the host last noticed that it had been paused, paused for
+	// how long.
+	pausedAt time.Time
+	paused   time.Duration
 	// replicaChanges holds the line of the last replica change of each service.
 	replicaChanges map[string]Line
 	// lateAt holds the time at which consecutive late replies of a replica or host
@@ -75,6 +79,9 @@
 		delete(state.lostAt, line.Part)
 	case "reach":
 		state.isolated, _ = line.Fields["cut_off"].(bool)
+	case "paused":
+		millis, _ := line.Fields["paused_ms"].(float64)
+		state.pausedAt, state.paused = line.Time, time.Duration(millis)*time.Millisecond
 	case "late":
 		state.lateAt[stringField(line.Fields["name"])] = line.Time
 	}
@@ -102,6 +109,8 @@
 		return fmt.Sprintf("refused as not run: the refusal probability of rank %s was %s, from the share of recent requests answered in time", field("rank"), field("chance"))
 	case "cut off":
 		return "refused as not run: this host reaches no other failure domain"
+	case "unservable":
+		return "refused as not run: too few of its shards had a replica"
 	case "peer failed":
 		return fmt.Sprintf("request to host %s for %s shards failed after %s ms, %s: %s", field("peer"), field("shards"), field("took_ms"), field("verdict"), field("detail"))
 	}
@@ -136,6 +145,9 @@
 	if state.isolated {
 		facts = append(facts, "isolated from other failure domains")
 	}
+	if !state.pausedAt.IsZero() && line.Time.Sub(state.pausedAt) < lateExpiry {
+		facts = append(facts, fmt.Sprintf("was paused for %.1f s until %s", state.paused.Seconds(), ago(state.pausedAt)))
+	}
 	if state.stopping {
 		facts = append(facts, "stopping")
 	}
--- a/story/story_test.go
+++ b/story/story_test.go
@@ -19,6 +19,8 @@
 {"host":"h1","late_ms":400,"msg":"late","name":"i-4","part":"suspect","time":"2026-01-01T10:00:02.600Z"}
 {"host":"h1","id":"abc","msg":"peer failed","part":"request","peer":"h2","shards":8,"took_ms":349,"verdict":"MayHaveRun","detail":"cancelled","time":"2026-01-01T10:00:03.100Z"}
 {"host":"h1","id":"abc","msg":"failed","part":"request","code":"Cancelled","verdict":"Ran","detail":"11 of 20 parts answered, 18 needed","in":11,"parts":20,"took_ms":350,"hedges":1,"retries":0,"cut":false,"missing":"s3: no replica accepts requests","peer_h2":"0 of 8 answered","time":"2026-01-01T10:00:03.100Z"}
+{"host":"h1","msg":"paused","part":"host","paused_ms":3500,"time":"2026-01-01T10:00:04.000Z"}
+{"host":"h1","id":"late","msg":"unservable","part":"request","time":"2026-01-01T10:00:04.500Z"}
 {"host":"h1","id":"other","msg":"answered","part":"request","time":"2026-01-01T10:00:03.200Z"}
 `
 
@@ -58,6 +60,16 @@
 	//     1 replicas and hosts with consecutive late replies recently: i-4
 }
 
+// A pause of the host is mentioned with the requests that follow.
+func TestExplainAfterAPause(t *testing.T) {
+	lines, _, err := story.Read(strings.NewReader(localLog), "h1")
+	qt.Assert(t, err, qt.IsNil)
+	story.Sort(lines)
+	explained := strings.Join(story.Explain(lines, "late"), "\n")
+	qt.Assert(t, explained, qt.Contains, "h1: refused as not run: too few of its shards had a replica")
+	qt.Assert(t, explained, qt.Contains, "was paused for 3.5 s until 0.5 s earlier")
+}
+
 // A request that no line mentions gives no output.
 func TestUnknownRequest(t *testing.T) {
 	lines, _, err := story.Read(strings.NewReader(localLog), "h1")
