dispatch: give a peer up only when its silence means something

Change: a peer is given up only if it replied to this host within a second before the bundle was sent, and only if enough shards can be had otherwise, with a whole token each.

--- a/dispatch/attempt.go
+++ b/dispatch/attempt.go
@@ -254,10 +254,6 @@
 			continue
 		}
 		part.hedgeAt = time.Time{}
-		// A hedge of a late request would take the place of one that can be in time.
-		if !run.partialAt.IsZero() && now.After(run.partialAt) {
-			continue
-		}
 		if part.mayHaveRun >= run.request.Route.MaxAttempts || len(run.candidates(part)) == 0 {
 			continue
 		}
--- a/dispatch/bundle.go
+++ b/dispatch/bundle.go
@@ -19,6 +19,10 @@
 // any part; a small one may lack its processor for up to 100 ms.
 const silenceMargin = 100 * time.Millisecond
 
+// recentReply is the time before a bundle was sent within which its peer must have
+// replied for its silence to mean anything.
+const recentReply = time.Second
+
 // sentBundle is a bundle that was sent to its peer, with the replies so far.
 type sentBundle struct {
 	bundle   Bundle
@@ -215,6 +219,27 @@
 	return false
 }
 
+// isSilent reports whether the peer of a bundle replied often until the bundle was
+// sent, and has sent nothing since. The silence of a peer that is seldom asked
+// says little.
+func (run *run) isSilent(sentBundle *sentBundle) bool {
+	peer, heardFrom := sentBundle.bundle.Peer, run.dispatcher.HeardFrom
+	return heardFrom != nil && !heardFrom(peer, sentBundle.started) && heardFrom(peer, sentBundle.started.Add(-recentReply))
+}
+
+// canReplace reports whether the request still gets enough parts when a bundle is
+// given up, from the other parts and those that may be requested directly.
+// Otherwise a late reply of the peer is its only chance.
+func (run *run) canReplace(sentBundle *sentBundle) bool {
+	lost := 0
+	for _, part := range sentBundle.parts {
+		if !run.repeatable(part, sentBundle) || !run.dispatcher.budget(part.service).HasToken() {
+			lost++
+		}
+	}
+	return run.answered+run.pending-lost >= run.request.Route.MinShards()
+}
+
 // silenceAt returns the time at which a bundle's peer counts as silent.
 func (run *run) silenceAt() time.Time {
 	return run.partialAt.Add(silenceMargin)
@@ -226,8 +251,7 @@
 }
 
 // abandonSilentBundles gives up the bundles whose peers have sent nothing, to
-// this or to another request, since the bundle was sent. It does so only for
-// bundles whose parts can be requested from their replicas instead.
+// this or to another request, since the bundle was sent.
 func (run *run) abandonSilentBundles(now time.Time) {
 	if run.partialAt.IsZero() || now.Before(run.silenceAt()) {
 		return
@@ -237,12 +261,11 @@
 			continue
 		}
 		sentBundle.silenceChecked = true
-		heardFrom := run.dispatcher.HeardFrom
-		if heardFrom != nil && heardFrom(sentBundle.bundle.Peer, sentBundle.started) {
+		if !run.isSilent(sentBundle) {
 			continue
 		}
 		sentBundle.failure = verdict.New(verdict.MayHaveRun, verdict.Silent, "host %s sends nothing", sentBundle.bundle.Peer)
-		if slices.ContainsFunc(sentBundle.parts, func(part *part) bool { return !run.repeatable(part, sentBundle) }) {
+		if !run.canReplace(sentBundle) {
 			sentBundle.failure = nil
 			continue
 		}
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -162,7 +162,7 @@
 	// given up as silent.
 	Delegate func(ctx context.Context, request *Request, bundle Bundle, report func(*BundleReply)) *BundleReply
 	// HeardFrom reports whether a peer has sent anything since a time. It may be
-	// nil, which means that it has not.
+	// nil, when that is not known.
 	HeardFrom func(peer string, since time.Time) bool
 	// Hosts returns the number of hosts that share the budget of extra requests.
 	Hosts func() int
--- a/retry/retry.go
+++ b/retry/retry.go
@@ -73,6 +73,14 @@
 	return true
 }
 
+// HasToken reports whether a whole token is left.
+func (budget *Budget) HasToken() bool {
+	budget.mu.Lock()
+	defer budget.mu.Unlock()
+	budget.fillOnce()
+	return budget.tokens >= 1
+}
+
 // spend takes one token. If only a fraction of one is left and Random is set,
 // it takes the fraction and succeeds with that probability.
 func (budget *Budget) spend() bool {
