--- a/quota/quota.go
+++ b/quota/quota.go
@@ -25,10 +25,15 @@
 }
 
 func (quota *Quota) take(bytes int) bool {
-	if quota.used.Add(int64(bytes)) <= quota.Bytes {
-		return true
+	for {
+		used := quota.used.Load()
+		if used+int64(bytes) > quota.Bytes {
+			break
+		}
+		if quota.used.CompareAndSwap(used, used+int64(bytes)) {
+			return true
+		}
 	}
-	quota.used.Add(-int64(bytes))
 	if quota.Exceeded != nil {
 		quota.Exceeded(bytes)
 	}
