--- a/feed/feed.go
+++ b/feed/feed.go
@@ -35,8 +35,10 @@
 	sequence       uint64
 	replicasReadAt time.Time
 	hostsReadAt    time.Time
-	// configReadAt is when the store last confirmed the configuration.
-	configReadAt time.Time
+	// configReadAt is when the store last confirmed the configuration to this host,
+	// configConfirmedAt when it did so to this host or to one that told this host.
+	configReadAt      time.Time
+	configConfirmedAt time.Time
 	// hostsSequence is the sequence at which hosts last changed, and removed
 	// maps replicas that are no longer listed to the sequence of their removal.
 	// Removals up to oldestSequence are no longer recorded.
@@ -65,6 +67,28 @@
 	feed.mu.Lock()
 	defer feed.mu.Unlock()
 	feed.configReadAt = feed.Now()
+	feed.configConfirmedAt = feed.configReadAt
+}
+
+// ConfirmConfigAt records that the store held no newer configuration at a time,
+// according to another host.
+func (feed *Feed) ConfirmConfigAt(at time.Time) {
+	feed.mu.Lock()
+	defer feed.mu.Unlock()
+	if at.After(feed.configConfirmedAt) {
+		feed.configConfirmedAt = at
+	}
+}
+
+// ConfigAge returns the time since the store last confirmed the configuration, to
+// this host or to one that told this host, and whether it ever did.
+func (feed *Feed) ConfigAge() (time.Duration, bool) {
+	feed.mu.Lock()
+	defer feed.mu.Unlock()
+	if feed.configConfirmedAt.IsZero() {
+		return 0, false
+	}
+	return feed.Now().Sub(feed.configConfirmedAt), true
 }
 
 // PutConfig stores a configuration that was read, if it is newer than the
--- a/feed/feed_test.go
+++ b/feed/feed_test.go
@@ -61,6 +61,8 @@
 	replicas       []roster.Replica
 	replicaUpdates int
 	confirmations  int
+	// sources are the hosts that were fetched from, without repetitions.
+	sources []string
 }
 
 func (group *group) follower(name string) (*feed.Follower, *received) {
@@ -89,8 +91,10 @@
 			received.replicas = replicas
 			received.replicaUpdates++
 		},
-		UpdateHosts: func([]shard.Host) {},
-		Confirm:     func() { received.confirmations++ },
+		UpdateHosts:   func([]shard.Host) {},
+		ConfirmConfig: group.feeds[name].ConfirmConfigAt,
+		Confirm:       func() { received.confirmations++ },
+		SourceChanged: func(host string) { received.sources = append(received.sources, host) },
 	}, received
 }
 
--- a/feed/follower.go
+++ b/feed/follower.go
@@ -63,8 +63,14 @@
 	UpdateHosts    func(hosts []shard.Host)
 	// ReadRecently reports whether this host itself read the lists recently.
 	ReadRecently func() bool
+	// ConfirmConfig is called with a time at which the store held no newer
+	// configuration than the fetched one.
+	ConfirmConfig func(at time.Time)
 	// Confirm is called when a fetch finds the lists unchanged.
 	Confirm func()
+	// SourceChanged is called with the host that updates are fetched from, when it
+	// is another one than before.
+	SourceChanged func(host string)
 
 	// replicas and hosts are the lists of the host source as of sequence.
 	replicas  map[string]roster.Replica
@@ -72,6 +78,8 @@
 	source    string
 	sequence  uint64
 	fetchedAt atomic.Pointer[time.Time]
+	// lastSource is the host of the last successful fetch.
+	lastSource string
 }
 
 // MustReadStore reports whether this host has to read the store itself: because
@@ -138,6 +146,10 @@
 		if err = follower.fetch(ctx, host); err == nil {
 			now := follower.Now()
 			follower.fetchedAt.Store(&now)
+			if follower.lastSource != host.Name {
+				follower.lastSource = host.Name
+				follower.SourceChanged(host.Name)
+			}
 			return nil
 		}
 	}
@@ -157,14 +169,16 @@
 	if age := time.Duration(reply.AgeMicros)*time.Microsecond + elapsed; reply.AgeMicros == neverRead || age > maxListAge {
 		return fmt.Errorf("host %s has no recent lists, age %v", host.Name, age)
 	}
-	if age := time.Duration(reply.ConfigAgeMicros)*time.Microsecond + elapsed; reply.ConfigAgeMicros == neverRead || age > maxConfigAge {
-		return fmt.Errorf("host %s has no recent configuration, age %v", host.Name, age)
+	configAge := time.Duration(reply.ConfigAgeMicros) * time.Microsecond
+	if reply.ConfigAgeMicros == neverRead || configAge+elapsed > maxConfigAge {
+		return fmt.Errorf("host %s has no recent configuration, age %v", host.Name, configAge+elapsed)
 	}
 	if len(reply.Config) > 0 {
 		if err := follower.ApplyConfig(reply.Config); err != nil {
 			return err
 		}
 	}
+	follower.ConfirmConfig(sentAt.Add(-configAge))
 	if reply.Unchanged {
 		follower.Confirm()
 		return nil
--- /dev/null
+++ b/metric/configuration.go
@@ -0,0 +1,26 @@
+package metric
+
+import (
+	"expvar"
+	"sync"
+	"time"
+)
+
+var (
+	configuration     = new(expvar.Map)
+	configurationOnce sync.Once
+)
+
+// PublishConfiguration publishes the version of the active configuration and the
+// milliseconds since the store last confirmed it, -1 if it never did. A later
+// call replaces the functions of an earlier one.
+func PublishConfiguration(version func() uint64, age func() (time.Duration, bool)) {
+	configurationOnce.Do(func() { expvar.Publish("Configuration", configuration) })
+	configuration.Set("Version", expvar.Func(func() any { return version() }))
+	configuration.Set("AgeMillis", expvar.Func(func() any {
+		if age, known := age(); known {
+			return age.Milliseconds()
+		}
+		return -1
+	}))
+}
--- a/poll/poll.go
+++ b/poll/poll.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"time"
 )
 
@@ -34,6 +33,8 @@
 	// the duration of the loss when it is regained.
 	Lost     func(err error)
 	Regained func(outage time.Duration)
+	// Random returns a random number in [0, 1).
+	Random func() float64
 
 	// failures counts consecutive failures.
 	failures int
@@ -44,7 +45,7 @@
 func (loop *Loop) Run(ctx context.Context) {
 	for ctx.Err() == nil {
 		loop.readOnce(ctx)
-		interval := time.Duration(float64(loop.interval()) * (1 - jitter/2 + jitter*rand.Float64()))
+		interval := time.Duration(float64(loop.interval()) * (1 - jitter/2 + jitter*loop.Random()))
 		Sleep(ctx, interval)
 	}
 }
--- a/poll/poll_test.go
+++ b/poll/poll_test.go
@@ -19,7 +19,7 @@
 		results := []error{nil, errors.New("one"), nil, errors.New("a"), errors.New("b"), errors.New("c"), nil, nil}
 		var reported []string
 		ctx, cancel := context.WithCancel(t.Context())
-		loop := &poll.Loop{Interval: time.Second, Timeout: time.Second}
+		loop := &poll.Loop{Random: noJitter, Interval: time.Second, Timeout: time.Second}
 		loop.Read = func(context.Context) error {
 			if len(results) == 0 {
 				cancel()
@@ -44,7 +44,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
 		reads := 0
-		loop := &poll.Loop{Interval: time.Second, Timeout: 3 * time.Second, Lost: func(error) { cancel() }, Regained: func(time.Duration) {}}
+		loop := &poll.Loop{Random: noJitter, Interval: time.Second, Timeout: 3 * time.Second, Lost: func(error) { cancel() }, Regained: func(time.Duration) {}}
 		loop.Read = func(ctx context.Context) error {
 			reads++
 			<-ctx.Done()
@@ -62,7 +62,7 @@
 		const maxReads = 8
 		ctx, cancel := context.WithCancel(t.Context())
 		var readTimes []time.Time
-		loop := &poll.Loop{Interval: 5 * time.Second, MinBackoff: 100 * time.Millisecond, MaxBackoff: 400 * time.Millisecond, Timeout: time.Second}
+		loop := &poll.Loop{Random: noJitter, Interval: 5 * time.Second, MinBackoff: 100 * time.Millisecond, MaxBackoff: 400 * time.Millisecond, Timeout: time.Second}
 		loop.Lost, loop.Regained = func(error) {}, func(time.Duration) {}
 		loop.Read = func(context.Context) error {
 			readTimes = append(readTimes, time.Now())
@@ -83,3 +83,6 @@
 		}
 	})
 }
+
+// noJitter leaves intervals as they are.
+func noJitter() float64 { return 0.5 }
--- a/route/current.go
+++ b/route/current.go
@@ -20,6 +20,14 @@
 	return current.table.Load()
 }
 
+// Version returns the version of the active table, 0 before the first one.
+func (current *Current) Version() uint64 {
+	if table := current.Table(); table != nil {
+		return table.Version
+	}
+	return 0
+}
+
 // Advance activates a table if it is newer than the active one, and reports
 // whether it did.
 func (current *Current) Advance(table *Table, source string) bool {
