feed: read the store when the configuration's confirmation is too old

Cause: no host bounded how old its configuration was. On recent lists alone were enough: hosts never learned of a change while the reader's watch failed and its lists were read. Ruled out: large configurations (277 kB are in force in 0.9 s), watches that skip changes.

Now each host knows when the store last confirmed the configuration to it, directly or through peers, and reads it itself after 1.8 s. Ages pass from peer to peer, so that any host may be a source.

--- a/feed/feed.go
+++ b/feed/feed.go
@@ -35,9 +35,8 @@
 	sequence       uint64
 	replicasReadAt time.Time
 	hostsReadAt    time.Time
-	// configReadAt is when the store last confirmed the configuration to this host,
-	// configConfirmedAt when it did so to this host or to one that told this host.
-	configReadAt      time.Time
+	// configConfirmedAt is when the store last confirmed the configuration, to this
+	// host or to one that told this host.
 	configConfirmedAt time.Time
 	// hostsSequence is the sequence at which hosts last changed, and removed
 	// maps replicas that are no longer listed to the sequence of their removal.
@@ -62,17 +61,8 @@
 	maxFirstSequence = 1 << 62
 )
 
-// ConfirmConfig records that the store holds no newer configuration.
-func (feed *Feed) ConfirmConfig() {
-	feed.mu.Lock()
-	defer feed.mu.Unlock()
-	feed.configReadAt = feed.Now()
-	feed.configConfirmedAt = feed.configReadAt
-}
-
-// ConfirmConfigAt records that the store held no newer configuration at a time,
-// according to another host.
-func (feed *Feed) ConfirmConfigAt(at time.Time) {
+// ConfirmConfig records that the store held no newer configuration at a time.
+func (feed *Feed) ConfirmConfig(at time.Time) {
 	feed.mu.Lock()
 	defer feed.mu.Unlock()
 	if at.After(feed.configConfirmedAt) {
@@ -91,6 +81,13 @@
 	return feed.Now().Sub(feed.configConfirmedAt), true
 }
 
+// ConfigRecent reports whether the configuration was confirmed within the last
+// maxConfigAge.
+func (feed *Feed) ConfigRecent() bool {
+	age, known := feed.ConfigAge()
+	return known && age <= maxConfigAge
+}
+
 // PutConfig stores a configuration that was read, if it is newer than the
 // stored one.
 func (feed *Feed) PutConfig(version uint64, config []byte) {
@@ -178,7 +175,7 @@
 func (feed *Feed) Answer(fetch *message.FeedFetch) *message.FeedNews {
 	feed.mu.Lock()
 	defer feed.mu.Unlock()
-	reply := &message.FeedNews{Version: feed.configVersion, Source: feed.Name, Sequence: feed.sequence, AgeMicros: feed.ageMicros(), ConfigAgeMicros: feed.age(feed.configReadAt)}
+	reply := &message.FeedNews{Version: feed.configVersion, Source: feed.Name, Sequence: feed.sequence, AgeMicros: feed.ageMicros(), ConfigAgeMicros: feed.age(feed.configConfirmedAt)}
 	if fetch.Version < feed.configVersion {
 		reply.Config = feed.config
 	}
--- a/feed/feed_test.go
+++ b/feed/feed_test.go
@@ -50,7 +50,7 @@
 // readStore records at a host's feed what the host read from the store.
 func (group *group) readStore(name string, replicas ...roster.Replica) {
 	group.feeds[name].PutConfig(7, []byte("config"))
-	group.feeds[name].ConfirmConfig()
+	group.feeds[name].ConfirmConfig(group.now)
 	group.feeds[name].PutReplicas(replicas)
 	group.feeds[name].PutHosts(hosts)
 }
@@ -92,7 +92,7 @@
 			received.replicaUpdates++
 		},
 		UpdateHosts:   func([]shard.Host) {},
-		ConfirmConfig: group.feeds[name].ConfirmConfigAt,
+		ConfirmConfig: group.feeds[name].ConfirmConfig,
 		Confirm:       func() { received.confirmations++ },
 		SourceChanged: func(host string) { received.sources = append(received.sources, host) },
 	}, received
@@ -201,7 +201,7 @@
 	qt.Assert(t, follower.FetchOnce(context.Background()), qt.IsNotNil)
 	qt.Assert(t, received.configs, qt.Equals, 0)
 	qt.Assert(t, follower.MustReadStore(), qt.IsTrue)
-	group.feeds[reader].ConfirmConfig()
+	group.feeds[reader].ConfirmConfig(group.now)
 	qt.Assert(t, follower.FetchOnce(context.Background()), qt.IsNil)
 	qt.Assert(t, received.configs, qt.Equals, 1)
 }
@@ -314,3 +314,25 @@
 		})
 	}
 }
+
+// A follower tells others how old the confirmation is that it got from the reader,
+// so that a host may take the configuration from any other.
+func TestConfirmationIsRelayedWithItsAge(t *testing.T) {
+	for age, accepted := range map[time.Duration]bool{time.Second: true, 2 * time.Second: false} {
+		group := newGroup()
+		reader, name, last := group.roles()
+		group.readStore(reader)
+		follower, _ := group.follower(name)
+		qt.Assert(t, follower.FetchOnce(context.Background()), qt.IsNil)
+		group.feeds[name].PutConfig(7, []byte("config"))
+		group.down[reader] = true
+		group.now = group.now.Add(age)
+		group.feeds[name].PutReplicas(nil)
+		group.feeds[name].PutHosts(hosts)
+		other, received := group.follower(last)
+		err := other.FetchOnce(context.Background())
+		qt.Assert(t, err == nil, qt.Equals, accepted, qt.Commentf("%v", err))
+		qt.Assert(t, received.configs == 1, qt.Equals, accepted)
+		qt.Assert(t, group.feeds[last].ConfigRecent(), qt.Equals, accepted)
+	}
+}
--- a/feed/follower.go
+++ b/feed/follower.go
@@ -25,11 +25,13 @@
 	// host. Together with the intervals between reads and between fetches it
 	// stays below the platform's shortest time limit for leaving replicas.
 	maxListAge = 1500 * time.Millisecond
-	// maxConfigAge is the maximum time since the store confirmed a configuration
-	// that is accepted from another host: a watch that found no change, and a
-	// margin. A host whose own watch fails may hold an older configuration than
-	// others were already served with.
-	maxConfigAge = 3 * time.Second
+	// maxConfigAge is the time since the store confirmed the configuration after
+	// which a host neither accepts it from another host nor does with its own, but
+	// reads the store. The reader confirms it once a second and followers fetch
+	// that within half a second. It bounds how late a host that can reach the store
+	// activates a change, whatever happens to the reader, and leaves time for a
+	// read that has to be repeated before the platform's shortest bound, 3 s.
+	maxConfigAge = 1800 * time.Millisecond
 	// fetchValidity is how long after a successful fetch a host does without
 	// reading the store. The host that is next to be the reader starts reading
 	// sooner, so that the others find recent lists there.
