feed: read the lists when they are too old, not when fetches fail

A request could reach a replica several seconds after it had reported that it leaves, from a host that can reach the store.

A follower accepted lists 1.5 s old, relied on a fetch for 1.8 s and looked every 0.7 to 1 s whether to read; ages began when a read ended, not when it began. After 2.5 s without a list the roster took the gap for an outage of the store and kept removed replicas for 2.2 s more.

Older lists than those held are not applied, since they may hold a replica that left, and old lists are not sent.

--- a/feed/feed.go
+++ b/feed/feed.go
@@ -111,11 +111,11 @@
 	return feed.sequence + 1
 }
 
-// PutReplicas stores the complete list of replicas that was read.
-func (feed *Feed) PutReplicas(replicas []roster.Replica) {
+// PutReplicas stores the complete list of replicas. The read of it began at readAt.
+func (feed *Feed) PutReplicas(replicas []roster.Replica, readAt time.Time) {
 	feed.mu.Lock()
 	defer feed.mu.Unlock()
-	feed.replicasReadAt = feed.Now()
+	feed.replicasReadAt = readAt
 	next := feed.nextSequence()
 	listed := make(map[string]bool, len(replicas))
 	for _, replica := range replicas {
@@ -146,11 +146,11 @@
 	return a == b
 }
 
-// PutHosts stores the complete list of entry hosts that was read.
-func (feed *Feed) PutHosts(hosts []shard.Host) {
+// PutHosts stores the complete list of entry hosts. The read of it began at readAt.
+func (feed *Feed) PutHosts(hosts []shard.Host, readAt time.Time) {
 	feed.mu.Lock()
 	defer feed.mu.Unlock()
-	feed.hostsReadAt = feed.Now()
+	feed.hostsReadAt = readAt
 	next := feed.nextSequence()
 	if !slices.Equal(feed.hosts, hosts) {
 		feed.hosts = hosts
@@ -158,13 +158,12 @@
 	}
 }
 
-// ReadRecently reports whether this host itself read both lists from the store
-// within the last maxListAge.
-func (feed *Feed) ReadRecently() bool {
+// ListsReadAt returns when this host itself began to read the list that it read
+// longer ago, the zero time if it never read one of them.
+func (feed *Feed) ListsReadAt() time.Time {
 	feed.mu.Lock()
 	defer feed.mu.Unlock()
-	age := feed.ageMicros()
-	return age != neverRead && age <= maxListAge.Microseconds()
+	return feed.listsReadAt()
 }
 
 // neverRead is the age of lists that were never read.
@@ -175,10 +174,14 @@
 func (feed *Feed) Answer(fetch *message.FeedFetch) *message.FeedNews {
 	feed.mu.Lock()
 	defer feed.mu.Unlock()
-	reply := &message.FeedNews{Version: feed.configVersion, Source: feed.Name, Sequence: feed.sequence, AgeMicros: feed.ageMicros(), ConfigAgeMicros: feed.age(feed.configConfirmedAt)}
+	reply := &message.FeedNews{Version: feed.configVersion, Source: feed.Name, Sequence: feed.sequence, AgeMicros: feed.age(feed.listsReadAt()), ConfigAgeMicros: feed.age(feed.configConfirmedAt)}
 	if fetch.Version < feed.configVersion {
 		reply.Config = feed.config
 	}
+	if reply.AgeMicros == neverRead || reply.AgeMicros > maxListAge.Microseconds() {
+		// The follower rejects such old lists.
+		return reply
+	}
 	since := fetch.Sequence
 	switch {
 	case fetch.Source == feed.Name && since == feed.sequence:
@@ -219,17 +222,11 @@
 	return encoded
 }
 
-// ageMicros returns the age of the list that was read longer ago, neverRead if
-// either was never read.
-func (feed *Feed) ageMicros() int64 {
-	if feed.replicasReadAt.IsZero() || feed.hostsReadAt.IsZero() {
-		return neverRead
-	}
-	oldest := feed.replicasReadAt
-	if feed.hostsReadAt.Before(oldest) {
-		oldest = feed.hostsReadAt
+func (feed *Feed) listsReadAt() time.Time {
+	if feed.hostsReadAt.Before(feed.replicasReadAt) {
+		return feed.hostsReadAt
 	}
-	return feed.age(oldest)
+	return feed.replicasReadAt
 }
 
 // age returns the time since a read in microseconds, neverRead for the zero
--- a/feed/feed_test.go
+++ b/feed/feed_test.go
@@ -51,8 +51,8 @@
 func (group *group) readStore(name string, replicas ...roster.Replica) {
 	group.feeds[name].PutConfig(7, []byte("config"))
 	group.feeds[name].ConfirmConfig(group.now)
-	group.feeds[name].PutReplicas(replicas)
-	group.feeds[name].PutHosts(hosts)
+	group.feeds[name].PutReplicas(replicas, group.now)
+	group.feeds[name].PutHosts(hosts, group.now)
 }
 
 // received counts a follower's callbacks and holds the last list of replicas.
@@ -69,12 +69,12 @@
 	received := &received{}
 	version := uint64(0)
 	return &feed.Follower{
-		Name:         name,
-		Domain:       "d",
-		Now:          func() time.Time { return group.now },
-		Hosts:        func() []shard.Host { return hosts },
-		Version:      func() uint64 { return version },
-		ReadRecently: group.feeds[name].ReadRecently,
+		Name:        name,
+		Domain:      "d",
+		Now:         func() time.Time { return group.now },
+		Hosts:       func() []shard.Host { return hosts },
+		Version:     func() uint64 { return version },
+		ListsReadAt: group.feeds[name].ListsReadAt,
 		SendFetch: func(_ context.Context, host shard.Host, fetch *message.FeedFetch) (*message.FeedNews, error) {
 			group.fetches++
 			if group.down[host.Name] {
@@ -195,8 +195,8 @@
 	reader, _, name := group.roles()
 	group.readStore(reader)
 	group.now = group.now.Add(5 * time.Second)
-	group.feeds[reader].PutReplicas(nil)
-	group.feeds[reader].PutHosts(hosts)
+	group.feeds[reader].PutReplicas(nil, group.now)
+	group.feeds[reader].PutHosts(hosts, group.now)
 	follower, received := group.follower(name)
 	qt.Assert(t, follower.FetchOnce(context.Background()), qt.IsNotNil)
 	qt.Assert(t, received.configs, qt.Equals, 0)
@@ -327,8 +327,8 @@
 		group.feeds[name].PutConfig(7, []byte("config"))
 		group.down[reader] = true
 		group.now = group.now.Add(age)
-		group.feeds[name].PutReplicas(nil)
-		group.feeds[name].PutHosts(hosts)
+		group.feeds[name].PutReplicas(nil, group.now)
+		group.feeds[name].PutHosts(hosts, group.now)
 		other, received := group.follower(last)
 		err := other.FetchOnce(context.Background())
 		qt.Assert(t, err == nil, qt.Equals, accepted, qt.Commentf("%v", err))
@@ -336,3 +336,20 @@
 		qt.Assert(t, group.feeds[last].ConfigRecent(), qt.Equals, accepted)
 	}
 }
+
+// Guards against a replica that is used again after it left, because a host that
+// has read the list itself then gets an older one from another host.
+func TestOlderListsAreNotApplied(t *testing.T) {
+	group := newGroup()
+	reader, name, _ := group.roles()
+	group.readStore(reader, newReplicas("left")...)
+	group.now = group.now.Add(time.Second)
+	group.readStore(name)
+	follower, received := group.follower(name)
+	qt.Assert(t, follower.FetchOnce(context.Background()), qt.IsNil)
+	qt.Assert(t, received.replicaUpdates, qt.Equals, 0)
+	group.now = group.now.Add(time.Second)
+	group.readStore(reader, newReplicas("new")...)
+	qt.Assert(t, follower.FetchOnce(context.Background()), qt.IsNil)
+	qt.Assert(t, received.replicas, qt.DeepEquals, newReplicas("new"))
+}
--- a/feed/follower.go
+++ b/feed/follower.go
@@ -21,10 +21,16 @@
 	// other and the reader first. The second becomes the reader once the first
 	// is off the host list.
 	maxCandidates = 3
-	// maxListAge is the maximum age of lists that are accepted from another
-	// host. Together with the intervals between reads and between fetches it
-	// stays below the platform's shortest time limit for leaving replicas.
+	// maxListAge is the maximum age of lists that are accepted from another host,
+	// and the age after which the host that would replace the reader reads them
+	// itself. It is a little more than the intervals between reads and between
+	// fetches together.
 	maxListAge = 1500 * time.Millisecond
+	// maxOwnListAge is the age of this host's lists after which it reads them itself.
+	// It leaves time for the next host to take over as the reader, and, with the
+	// lag of a read, stays below the platform's shortest bound for replicas that
+	// leave, 3 s.
+	maxOwnListAge = 1900 * time.Millisecond
 	// maxConfigAge is the time since the store confirmed the configuration after
 	// which a host neither accepts it from another host nor does with its own, but
 	// reads the store. The reader confirms it once a second and followers fetch
@@ -32,11 +38,6 @@
 	// activates a change, whatever happens to the reader, and leaves time for a
 	// read that has to be repeated before the platform's shortest bound, 3 s.
 	maxConfigAge = 1800 * time.Millisecond
-	// fetchValidity is how long after a successful fetch a host does without
-	// reading the store. The host that is next to be the reader starts reading
-	// sooner, so that the others find recent lists there.
-	fetchValidity           = 1800 * time.Millisecond
-	nextReaderFetchValidity = time.Second
 	// fetchTimeout bounds a fetch from one host.
 	fetchTimeout = 250 * time.Millisecond
 	// readerRole is the key by which the reader is chosen among the hosts.
@@ -63,8 +64,9 @@
 	ApplyConfig    func(config []byte) error
 	UpdateReplicas func(replicas []roster.Replica)
 	UpdateHosts    func(hosts []shard.Host)
-	// ReadRecently reports whether this host itself read the lists recently.
-	ReadRecently func() bool
+	// ListsReadAt returns when this host itself last read the lists, the zero time
+	// if it never did.
+	ListsReadAt func() time.Time
 	// ConfirmConfig is called with a time at which the store held no newer
 	// configuration than the fetched one.
 	ConfirmConfig func(at time.Time)
@@ -75,19 +77,21 @@
 	SourceChanged func(host string)
 
 	// replicas and hosts are the lists of the host source as of sequence.
-	replicas  map[string]roster.Replica
-	hosts     []shard.Host
-	source    string
-	sequence  uint64
-	fetchedAt atomic.Pointer[time.Time]
+	replicas map[string]roster.Replica
+	hosts    []shard.Host
+	source   string
+	sequence uint64
+	// fetchedReadAt is when the fetched lists were read.
+	fetchedReadAt atomic.Pointer[time.Time]
+	ranking       atomic.Pointer[ranking]
 	// lastSource is the host of the last successful fetch.
 	lastSource string
 }
 
 // MustReadStore reports whether this host has to read the store itself: because
-// it is the reader, or because its last successful fetch is too long ago.
+// it is the reader, or because its lists are too old.
 func (follower *Follower) MustReadStore() bool {
-	validity := fetchValidity
+	limit := maxOwnListAge
 	for i, host := range follower.candidates() {
 		if host.Name != follower.Name {
 			continue
@@ -96,18 +100,43 @@
 			return true
 		}
 		if i == readersPerDomain {
-			validity = nextReaderFetchValidity
+			limit = maxListAge
 		}
 	}
-	fetchedAt := follower.fetchedAt.Load()
-	return fetchedAt == nil || follower.Now().Sub(*fetchedAt) > validity
+	return follower.Now().Sub(follower.readAt()) > limit
 }
 
-// candidates returns the hosts to fetch from, the reader first. The hosts with
-// the most cores come before smaller ones: a small host takes longer to read
-// the store than the lists may age.
+// readAt returns when this host's lists were read from the store, by itself or by
+// the host that it fetched them from.
+func (follower *Follower) readAt() time.Time {
+	readAt := follower.ListsReadAt()
+	if fetched := follower.fetchedReadAt.Load(); fetched != nil && fetched.After(readAt) {
+		return *fetched
+	}
+	return readAt
+}
+
+// ranking is the candidates among a list of hosts.
+type ranking struct {
+	hosts      []shard.Host
+	candidates []shard.Host
+}
+
+// candidates returns the hosts to fetch from, the reader first. It computes them
+// when the list of hosts has changed.
 func (follower *Follower) candidates() []shard.Host {
 	hosts := follower.Hosts()
+	if cached := follower.ranking.Load(); cached != nil && slices.Equal(cached.hosts, hosts) {
+		return cached.candidates
+	}
+	ranking := &ranking{hosts: hosts, candidates: follower.rank(hosts)}
+	follower.ranking.Store(ranking)
+	return ranking.candidates
+}
+
+// rank selects the candidates. The hosts with the most cores come before smaller
+// ones: a small host takes longer to read the store than the lists may age.
+func (follower *Follower) rank(hosts []shard.Host) []shard.Host {
 	maxCores := 0.0
 	for _, host := range hosts {
 		if host.FailureDomain == follower.Domain {
@@ -137,7 +166,7 @@
 // reject the calls of some hosts and serve others.
 func (follower *Follower) FetchOnce(ctx context.Context) error {
 	candidates := follower.candidates()
-	if len(candidates) == 0 || candidates[0].Name == follower.Name && follower.ReadRecently() {
+	if len(candidates) == 0 || candidates[0].Name == follower.Name && follower.Now().Sub(follower.ListsReadAt()) <= maxListAge {
 		return nil
 	}
 	var err error
@@ -146,8 +175,6 @@
 			continue
 		}
 		if err = follower.fetch(ctx, host); err == nil {
-			now := follower.Now()
-			follower.fetchedAt.Store(&now)
 			if follower.lastSource != host.Name {
 				follower.lastSource = host.Name
 				follower.SourceChanged(host.Name)
@@ -168,9 +195,6 @@
 	}
 	// The other host may have computed its ages as early as at sentAt.
 	elapsed := follower.Now().Sub(sentAt)
-	if age := time.Duration(reply.AgeMicros)*time.Microsecond + elapsed; reply.AgeMicros == neverRead || age > maxListAge {
-		return fmt.Errorf("host %s has no recent lists, age %v", host.Name, age)
-	}
 	configAge := time.Duration(reply.ConfigAgeMicros) * time.Microsecond
 	if reply.ConfigAgeMicros == neverRead || configAge+elapsed > maxConfigAge {
 		return fmt.Errorf("host %s has no recent configuration, age %v", host.Name, configAge+elapsed)
@@ -181,6 +205,16 @@
 		}
 	}
 	follower.ConfirmConfig(sentAt.Add(-configAge))
+	listAge := time.Duration(reply.AgeMicros) * time.Microsecond
+	if reply.AgeMicros == neverRead || listAge+elapsed > maxListAge {
+		return fmt.Errorf("host %s has no recent lists, age %v", host.Name, listAge+elapsed)
+	}
+	readAt := sentAt.Add(-listAge)
+	if readAt.Before(follower.readAt()) {
+		// Older lists may hold a replica that left.
+		return nil
+	}
+	follower.fetchedReadAt.Store(&readAt)
 	if reply.Unchanged {
 		follower.Confirm()
 		return nil
--- a/poll/poll.go
+++ b/poll/poll.go
@@ -25,6 +25,10 @@
 	// consecutive failure, up to MaxBackoff. When it is 0, Interval applies.
 	MinBackoff time.Duration
 	MaxBackoff time.Duration
+	// Due reports whether to read. While it does not, it is called again after
+	// IdleInterval. It may be nil, which means always.
+	Due          func() bool
+	IdleInterval time.Duration
 	// Timeout bounds one read.
 	Timeout time.Duration
 	// Read reads the source once.
@@ -44,12 +48,20 @@
 // Run reads until ctx ends.
 func (loop *Loop) Run(ctx context.Context) {
 	for ctx.Err() == nil {
+		if loop.Due != nil && !loop.Due() {
+			loop.sleep(ctx, loop.IdleInterval)
+			continue
+		}
 		loop.readOnce(ctx)
-		interval := time.Duration(float64(loop.interval()) * (1 - jitter/2 + jitter*loop.Random()))
-		Sleep(ctx, interval)
+		loop.sleep(ctx, loop.interval())
 	}
 }
 
+// sleep waits for an interval, varied by the jitter.
+func (loop *Loop) sleep(ctx context.Context, interval time.Duration) {
+	Sleep(ctx, time.Duration(float64(interval)*(1-jitter/2+jitter*loop.Random())))
+}
+
 // Sleep waits for a duration, or until ctx ends.
 func Sleep(ctx context.Context, wait time.Duration) {
 	timer := time.NewTimer(wait)
--- a/poll/poll_test.go
+++ b/poll/poll_test.go
@@ -84,5 +84,28 @@
 	})
 }
 
+// A loop that is not due asks again after IdleInterval.
+func TestDue(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		start, due := time.Now(), false
+		var readAt []time.Duration
+		loop := &poll.Loop{Random: noJitter, Interval: time.Second, IdleInterval: 100 * time.Millisecond, Timeout: time.Second}
+		loop.Due = func() bool {
+			due = due || time.Since(start) >= 300*time.Millisecond
+			return due
+		}
+		loop.Read = func(context.Context) error {
+			readAt = append(readAt, time.Since(start))
+			if len(readAt) == 2 {
+				cancel()
+			}
+			return nil
+		}
+		loop.Run(ctx)
+		qt.Assert(t, readAt, qt.DeepEquals, []time.Duration{300 * time.Millisecond, 1300 * time.Millisecond})
+	})
+}
+
 // noJitter leaves intervals as they are.
 func noJitter() float64 { return 0.5 }
