feed: follow the readers of other failure domains as a last resort

A follower now fetches from the readers of up to two other domains when no candidate of its own has recent lists, also when its domain is no longer on the host list. TestRejectedDomainFollowsOthers failed before.

--- a/feed/follower.go
+++ b/feed/follower.go
@@ -21,6 +21,9 @@
 	// other and the reader first. The second becomes the reader once the first
 	// is off the host list.
 	maxCandidates = 3
+	// maxRemote is how many readers of other failure domains a follower fetches from
+	// when no candidate of its own has recent lists.
+	maxRemote = 2
 	// maxListAge is the maximum age of lists that are accepted from another host,
 	// and the age after which the host that would replace the reader reads them
 	// itself. It is a little more than the intervals between reads and between
@@ -83,7 +86,7 @@
 	sequence uint64
 	// fetchedReadAt is when the fetched lists were read.
 	fetchedReadAt atomic.Pointer[time.Time]
-	ranking       atomic.Pointer[ranking]
+	cached        atomic.Pointer[ranking]
 	// lastSource is the host of the last successful fetch.
 	lastSource string
 }
@@ -92,7 +95,7 @@
 // it is the reader, or because its lists are too old.
 func (follower *Follower) MustReadStore() bool {
 	limit := maxOwnListAge
-	for i, host := range follower.candidates() {
+	for i, host := range follower.ranking().candidates {
 		if host.Name != follower.Name {
 			continue
 		}
@@ -116,30 +119,55 @@
 	return readAt
 }
 
-// ranking is the candidates among a list of hosts.
+// ranking is what is selected from a list of hosts.
 type ranking struct {
-	hosts      []shard.Host
+	hosts []shard.Host
+	// candidates are the hosts of this failure domain to fetch from, the reader
+	// first.
 	candidates []shard.Host
+	// remote are readers of other failure domains.
+	remote []shard.Host
 }
 
-// candidates returns the hosts to fetch from, the reader first. It computes them
-// when the list of hosts has changed.
-func (follower *Follower) candidates() []shard.Host {
+// ranking returns the hosts to fetch from. It computes them when the list of hosts
+// has changed.
+func (follower *Follower) ranking() *ranking {
 	hosts := follower.Hosts()
-	if cached := follower.ranking.Load(); cached != nil && slices.Equal(cached.hosts, hosts) {
-		return cached.candidates
+	if cached := follower.cached.Load(); cached != nil && slices.Equal(cached.hosts, hosts) {
+		return cached
 	}
-	ranking := &ranking{hosts: hosts, candidates: follower.rank(hosts)}
-	follower.ranking.Store(ranking)
-	return ranking.candidates
+	computed := &ranking{hosts: hosts, candidates: readersOf(follower.Domain, hosts, maxCandidates)}
+	for _, domain := range otherDomains(follower.Domain, hosts) {
+		if len(computed.remote) < maxRemote {
+			computed.remote = append(computed.remote, readersOf(domain, hosts, 1)...)
+		}
+	}
+	follower.cached.Store(computed)
+	return computed
+}
+
+// otherDomains returns the failure domains of hosts other than one. They begin with
+// the one that follows it in order of name, so that domains choose different ones.
+func otherDomains(domain string, hosts []shard.Host) []string {
+	var domains []string
+	for _, host := range hosts {
+		if host.FailureDomain != domain {
+			domains = append(domains, host.FailureDomain)
+		}
+	}
+	slices.Sort(domains)
+	domains = slices.Compact(domains)
+	next, _ := slices.BinarySearch(domains, domain)
+	return slices.Concat(domains[next:], domains[:next])
 }
 
-// rank selects the candidates. The hosts with the most cores come before smaller
-// ones: a small host takes longer to read the store than the lists may age.
-func (follower *Follower) rank(hosts []shard.Host) []shard.Host {
+// readersOf returns up to count hosts of a failure domain, the reader first. The
+// hosts with the most cores come before smaller ones: a small host takes longer to
+// read the store than the lists may age.
+func readersOf(domain string, hosts []shard.Host, count int) []shard.Host {
 	maxCores := 0.0
 	for _, host := range hosts {
-		if host.FailureDomain == follower.Domain {
+		if host.FailureDomain == domain {
 			maxCores = max(maxCores, host.Cores)
 		}
 	}
@@ -149,28 +177,30 @@
 			largest = append(largest, host)
 		}
 	}
-	candidates := shard.New(largest).HostsForRole(readerRole, follower.Domain, maxCandidates)
-	if len(candidates) == maxCandidates {
-		return candidates
+	readers := shard.New(largest).HostsForRole(readerRole, domain, count)
+	if len(readers) == count {
+		return readers
 	}
-	for _, host := range shard.New(hosts).HostsForRole(readerRole, follower.Domain, maxCandidates) {
-		if len(candidates) < maxCandidates && !slices.Contains(candidates, host) {
-			candidates = append(candidates, host)
+	for _, host := range shard.New(hosts).HostsForRole(readerRole, domain, count) {
+		if len(readers) < count && !slices.Contains(readers, host) {
+			readers = append(readers, host)
 		}
 	}
-	return candidates
+	return readers
 }
 
-// FetchOnce fetches from the first candidate that returns recent lists. The
-// reader itself fetches only while its own reads fail, since the store may
-// reject the calls of some hosts and serve others.
+// FetchOnce fetches from the first host that returns recent lists: the candidates
+// of this failure domain, or else readers of others, since the store may reject the
+// calls of a whole domain and serve others. The reader itself fetches only while
+// its own reads fail.
 func (follower *Follower) FetchOnce(ctx context.Context) error {
-	candidates := follower.candidates()
-	if len(candidates) == 0 || candidates[0].Name == follower.Name && follower.Now().Sub(follower.ListsReadAt()) <= maxListAge {
+	ranking := follower.ranking()
+	candidates := ranking.candidates
+	if len(candidates) > 0 && candidates[0].Name == follower.Name && follower.Now().Sub(follower.ListsReadAt()) <= maxListAge {
 		return nil
 	}
 	var err error
-	for _, host := range candidates {
+	for _, host := range slices.Concat(candidates, ranking.remote) {
 		if host.Name == follower.Name {
 			continue
 		}
