link: probe a connection that owes a reply, and replace a silent one

Cause: a client kept its one connection to a peer for as long as TCP did. Requests on it timed out one after the other ("cancelled after sending", 750 ms each), since nothing but the end of the connection had it replaced. The evidence is in the lines of failed requests 17 s after the event, with none of the parts of such a peer.

Now a connection on which a reply has been due for 200 ms while no frame arrived is probed; the peer's link answers at once, whatever its requests wait for. Without a frame within 400 ms the connection is closed.

TestSilentConnectionIsReplaced fails without the check.

--- a/link/client.go
+++ b/link/client.go
@@ -101,12 +101,18 @@
 	if !sent {
 		return verdict.New(verdict.NotRun, verdict.Unreachable, "host %s: connection closed before sending", client.Address)
 	}
+	conn.expectReply()
+	conn.checkSilence()
+	silence := time.NewTimer(silenceTimeout)
+	defer silence.Stop()
 	for {
 		select {
 		case reply := <-call.replies:
 			if !reply.handle(handle) {
 				return nil
 			}
+		case <-silence.C:
+			conn.checkSilence()
 		case <-conn.done:
 			return client.connectionLost(sendState, call, handle)
 		case <-ctx.Done():
--- a/link/conn.go
+++ b/link/conn.go
@@ -5,6 +5,7 @@
 	"context"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"fescuehall/frame"
@@ -67,6 +68,10 @@
 	done      chan struct{}
 	once      sync.Once
 	err       error
+	// unansweredSince is the time in Unix nanoseconds since which a reply has been
+	// due while no frame arrived, 0 if none is. probing is set during a probe.
+	unansweredSince atomic.Int64
+	probing         atomic.Bool
 }
 
 func newConn(netConn net.Conn) *Conn {
@@ -197,6 +202,7 @@
 			conn.close(err)
 			return err
 		}
+		conn.recordReceived()
 		handle(received, reservation.Release)
 	}
 	return conn.err
--- a/link/link_test.go
+++ b/link/link_test.go
@@ -4,7 +4,9 @@
 	"context"
 	"io"
 	"net"
+	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	qt "github.com/frankban/quicktest"
@@ -204,3 +206,140 @@
 	qt.Assert(t, server.Shutdown(ctx), qt.ErrorIs, context.Canceled)
 	qt.Assert(t, verdict.FailureOf(<-failed).Code, qt.Equals, verdict.ConnectionLost)
 }
+
+// silenceable is a connection on which nothing is sent or received any more, and
+// that stays open, once it is silent.
+type silenceable struct {
+	net.Conn
+	silent chan struct{}
+	closed chan struct{}
+	once   sync.Once
+}
+
+func (conn *silenceable) isSilent() bool {
+	select {
+	case <-conn.silent:
+		return true
+	default:
+		return false
+	}
+}
+
+// Read implements net.Conn.
+func (conn *silenceable) Read(buf []byte) (int, error) {
+	n, err := conn.Conn.Read(buf)
+	if conn.isSilent() {
+		<-conn.closed
+		return 0, net.ErrClosed
+	}
+	return n, err
+}
+
+// Write implements net.Conn.
+func (conn *silenceable) Write(buf []byte) (int, error) {
+	if conn.isSilent() {
+		return len(buf), nil
+	}
+	return conn.Conn.Write(buf)
+}
+
+// Close implements net.Conn.
+func (conn *silenceable) Close() error {
+	conn.once.Do(func() { close(conn.closed) })
+	return conn.Conn.Close()
+}
+
+// pipeServer serves connections that are opened with dial.
+type pipeServer struct {
+	connections chan net.Conn
+	dialled     []*silenceable
+}
+
+// Accept implements net.Listener.
+func (server *pipeServer) Accept() (net.Conn, error) {
+	conn, ok := <-server.connections
+	if !ok {
+		return nil, net.ErrClosed
+	}
+	return conn, nil
+}
+
+// Close implements net.Listener.
+func (server *pipeServer) Close() error { return nil }
+
+// Addr implements net.Listener.
+func (server *pipeServer) Addr() net.Addr { return &net.TCPAddr{} }
+
+func (server *pipeServer) dial(string, string, time.Duration) (net.Conn, error) {
+	near, far := net.Pipe()
+	server.connections <- far
+	conn := &silenceable{Conn: near, silent: make(chan struct{}), closed: make(chan struct{})}
+	server.dialled = append(server.dialled, conn)
+	return conn, nil
+}
+
+// Guards against requests to a peer that time out one after the other, because they
+// all use a connection that went silent without being closed.
+func TestSilentConnectionIsReplaced(t *testing.T) {
+	tests := []struct {
+		name string
+		// timeout is that of each request.
+		timeout time.Duration
+	}{
+		{name: "long requests", timeout: 3 * time.Second},
+		{name: "requests shorter than the detection", timeout: 90 * time.Millisecond},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				client, pipes := startPipes(t)
+				call := func() error {
+					ctx, cancel := context.WithTimeout(t.Context(), test.timeout)
+					defer cancel()
+					_, err := client.Call(ctx, frame.SubRequest, []byte("echo"))
+					return err
+				}
+				qt.Assert(t, call(), qt.IsNil)
+				close(pipes.dialled[0].silent)
+				silentAt := time.Now()
+				for call() != nil {
+					qt.Assert(t, time.Since(silentAt) < time.Second, qt.IsTrue)
+					time.Sleep(10 * time.Millisecond)
+				}
+				qt.Assert(t, pipes.dialled, qt.HasLen, 2)
+			})
+		})
+	}
+}
+
+// A peer that takes long for a request keeps its connection.
+func TestSlowPeerKeepsItsConnection(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		client, pipes := startPipes(t)
+		for range 2 {
+			_, err := client.Call(t.Context(), frame.SubRequest, []byte("slow"))
+			qt.Assert(t, err, qt.IsNil)
+		}
+		qt.Assert(t, pipes.dialled, qt.HasLen, 1)
+	})
+}
+
+// startPipes starts a server whose replies to "slow" take 5 s, and returns a client
+// for it.
+func startPipes(t *testing.T) (*link.Client, *pipeServer) {
+	pipes := &pipeServer{connections: make(chan net.Conn)}
+	server := &link.Server{Handle: func(_ context.Context, request frame.Frame, reply link.Reply) {
+		if string(request.Body) == "slow" {
+			time.Sleep(5 * time.Second)
+		}
+		reply(frame.SubReply, request.Body)
+	}}
+	go server.Run(pipes)
+	client := &link.Client{Address: "pipe", Dial: pipes.dial}
+	t.Cleanup(func() {
+		client.Close()
+		close(pipes.connections)
+		synctest.Wait()
+	})
+	return client, pipes
+}
--- a/link/server.go
+++ b/link/server.go
@@ -162,10 +162,19 @@
 }
 
 func (session *session) receive(request frame.Frame, release func()) {
-	if request.Type == frame.Cancel {
+	switch request.Type {
+	case frame.Cancel:
 		session.finish(request.Correlation)
 		release()
 		return
+	case frame.Probe:
+		release()
+		select {
+		case session.conn.sendQueue <- outgoing{frame: frame.Frame{Type: frame.ProbeReply, Correlation: request.Correlation}}:
+		default:
+			// A connection that can't take the reply is as good as silent.
+		}
+		return
 	}
 	ctx, cancel := context.WithCancel(session.ctx)
 	session.mu.Lock()
--- a/peer/frames.go
+++ b/peer/frames.go
@@ -111,8 +111,6 @@
 // of a link.Server.
 func (wire *Wire) Handle(ctx context.Context, received frame.Frame, reply link.Reply) {
 	switch received.Type {
-	case frame.Probe:
-		reply(frame.ProbeReply, nil)
 	case frame.GatherRequest:
 		request := &message.GatherRequest{}
 		if _, err := request.UnmarshalMsg(received.Body); err != nil {
