--- a/dispatch/attempt.go
+++ b/dispatch/attempt.go
@@ -26,6 +26,8 @@
 	hedgeAt time.Time
 	// reply is the successful reply, nil before it.
 	reply *Reply
+	// notRetried is why the last failed attempt was not retried, empty if it was.
+	notRetried string
 	// lastFailure is the reply of the last failed attempt, worstVerdict the worst
 	// verdict of all.
 	lastFailure  *Reply
@@ -223,29 +225,46 @@
 
 // retry sends another attempt after a failure, if the request may run again and
 // the budget of extra requests allows it. An attempt that reached no replica is
-// retried outside the budget, up to maxUnreachable attempts.
+// retried outside the budget, up to maxUnreachable attempts. Without an attempt, the
+// reason is kept for the log.
 func (run *run) retry(index int, failure *verdict.Failure) bool {
 	part := run.parts[index]
-	if part.running > 0 || part.mayHaveRun >= run.request.Route.MaxAttempts {
-		return false
-	}
-	if failure.Verdict != verdict.NotRun && !run.request.Route.Idempotent {
-		return false
-	}
-	if failure.Code == verdict.Cancelled || failure.Code == verdict.Paused || len(run.candidates(part)) == 0 {
+	part.notRetried = run.retryObstacle(part, failure)
+	if part.notRetried != "" {
 		return false
 	}
 	if failure.Code == verdict.Unreachable {
 		part.unreachable++
-		return part.unreachable < maxUnreachable && run.startAttempt(index, false)
+		return run.startAttempt(index, false)
 	}
 	if !run.dispatcher.budget(part.service).Take() {
+		part.notRetried = "budget spent"
 		return false
 	}
 	run.retries++
 	return run.startAttempt(index, false)
 }
 
+// retryObstacle returns why a failed attempt can't be retried whatever the budget
+// is, or an empty string.
+func (run *run) retryObstacle(part *part, failure *verdict.Failure) string {
+	switch {
+	case part.running > 0:
+		return "another attempt runs"
+	case part.mayHaveRun >= run.request.Route.MaxAttempts:
+		return "maximum of attempts"
+	case failure.Verdict != verdict.NotRun && !run.request.Route.Idempotent:
+		return "not idempotent"
+	case failure.Code == verdict.Cancelled || failure.Code == verdict.Paused:
+		return "cancelled or paused"
+	case len(run.candidates(part)) == 0:
+		return "no other replica"
+	case failure.Code == verdict.Unreachable && part.unreachable+1 >= maxUnreachable:
+		return "too many unreachable replicas"
+	}
+	return ""
+}
+
 // hedgeLateParts sends a second attempt for the parts that are late, if the
 // budget of extra requests allows it.
 func (run *run) hedgeLateParts(now time.Time) {
--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -518,3 +518,31 @@
 		})
 	}
 }
+
+// The log tells why a failed attempt was not retried.
+func TestReasonWithoutRetryIsLogged(t *testing.T) {
+	tests := []struct {
+		reason     string
+		idempotent bool
+		failure    *verdict.Failure
+		// budget is the number of extra attempts allowed.
+		budget float64
+	}{
+		{reason: "not idempotent", failure: newFailure(verdict.MayHaveRun, verdict.ConnectionLost), budget: 10},
+		{reason: "budget spent", idempotent: true, failure: newFailure(verdict.MayHaveRun, verdict.ConnectionLost)},
+		{reason: "maximum of attempts", idempotent: true, failure: newFailure(verdict.MayHaveRun, verdict.ConnectionLost), budget: 10},
+		{reason: "no other replica", idempotent: true, failure: newFailure(verdict.NotRun, verdict.Shed), budget: 10},
+	}
+	for _, test := range tests {
+		t.Run(test.reason, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				var missing string
+				dispatcher := newDispatcher(&fakeReplicas{respond: func(string, int) (time.Duration, *verdict.Failure) { return time.Millisecond, test.failure }})
+				dispatcher.SetRetryBudget(0, test.budget)
+				dispatcher.Event = func(_ string, fields logbook.Fields) { missing = fmt.Sprint(fields["missing"]) }
+				dispatcher.Serve(t.Context(), newRequest(singleRoute(test.idempotent)))
+				qt.Assert(t, strings.HasSuffix(missing, "not retried: "+test.reason), qt.IsTrue, qt.Commentf("%s", missing))
+			})
+		})
+	}
+}
--- a/dispatch/result.go
+++ b/dispatch/result.go
@@ -197,7 +197,11 @@
 			return part.service + ": left out by host " + part.omittedBy
 		}
 		if part.lastFailure != nil {
-			return part.service + ": " + part.lastFailure.Failure.Error()
+			reason := part.service + ": " + part.lastFailure.Failure.Error()
+			if part.notRetried != "" {
+				reason += ", not retried: " + part.notRetried
+			}
+			return reason
 		}
 		if part.running > 0 {
 			return part.service + ": no answer yet"
