feed: go to other failure domains late, and probe a lost store less often

A host now goes to other domains when its lists are 6 s old, and stays there while its own domain has none, since it then gets changes only. Hosts that would not become the reader wait twice as long between failed reads of the lists; they learn of the end of an outage from those that would.

Tried and reverted: leaving the age of the host list out. Its loop then starved, since reading the replicas alone made the lists count as recent, and hosts knew no peers for 6 s after their start.

--- a/feed/follower.go
+++ b/feed/follower.go
@@ -22,8 +22,11 @@
 	// is off the host list.
 	maxCandidates = 3
 	// maxRemote is how many readers of other failure domains a follower fetches from
-	// when no candidate of its own has recent lists.
-	maxRemote = 2
+	// when no candidate of its own has had recent lists, and its own reads have
+	// failed, until its lists are as old as remoteListAge. Whole lists are long, and
+	// transfers between failure domains are expensive.
+	maxRemote     = 2
+	remoteListAge = 6 * time.Second
 	// maxListAge is the maximum age of lists that are accepted from another host,
 	// and the age after which the host that would replace the reader reads them
 	// itself. It is a little more than the intervals between reads and between
@@ -88,7 +91,9 @@
 	fetchedReadAt atomic.Pointer[time.Time]
 	cached        atomic.Pointer[ranking]
 	// lastSource is the host of the last successful fetch.
-	lastSource string
+	lastSource shard.Host
+	// firstFetchAt is when FetchOnce was first called.
+	firstFetchAt time.Time
 }
 
 // MustReadStore reports whether this host has to read the store itself: because
@@ -109,6 +114,11 @@
 	return follower.Now().Sub(follower.readAt()) > limit
 }
 
+// IsCandidate reports whether other hosts of the failure domain fetch from this one.
+func (follower *Follower) IsCandidate() bool {
+	return slices.ContainsFunc(follower.ranking().candidates, func(host shard.Host) bool { return host.Name == follower.Name })
+}
+
 // readAt returns when this host's lists were read from the store, by itself or by
 // the host that it fetched them from.
 func (follower *Follower) readAt() time.Time {
@@ -194,19 +204,25 @@
 // calls of a whole domain and serve others. The reader itself fetches only while
 // its own reads fail.
 func (follower *Follower) FetchOnce(ctx context.Context) error {
+	if follower.firstFetchAt.IsZero() {
+		follower.firstFetchAt = follower.Now()
+	}
 	ranking := follower.ranking()
 	candidates := ranking.candidates
 	if len(candidates) > 0 && candidates[0].Name == follower.Name && follower.Now().Sub(follower.ListsReadAt()) <= maxListAge {
 		return nil
 	}
+	if follower.needsRemote() {
+		candidates = slices.Concat(candidates, ranking.remote)
+	}
 	var err error
-	for _, host := range slices.Concat(candidates, ranking.remote) {
+	for _, host := range candidates {
 		if host.Name == follower.Name {
 			continue
 		}
 		if err = follower.fetch(ctx, host); err == nil {
-			if follower.lastSource != host.Name {
-				follower.lastSource = host.Name
+			if follower.lastSource.Name != host.Name {
+				follower.lastSource = host
 				follower.SourceChanged(host.Name)
 			}
 			return nil
@@ -215,6 +231,18 @@
 	return err
 }
 
+// needsRemote reports whether this host fetches from other failure domains when its
+// own has no recent lists. A host that does so continues, since it then receives
+// only changes.
+func (follower *Follower) needsRemote() bool {
+	since := follower.readAt()
+	if since.Before(follower.firstFetchAt) {
+		since = follower.firstFetchAt
+	}
+	followsRemote := follower.lastSource.FailureDomain != "" && follower.lastSource.FailureDomain != follower.Domain
+	return followsRemote || follower.Now().Sub(since) > remoteListAge
+}
+
 func (follower *Follower) fetch(ctx context.Context, host shard.Host) error {
 	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
 	defer cancel()
--- a/poll/poll.go
+++ b/poll/poll.go
@@ -25,6 +25,9 @@
 	// consecutive failure, up to MaxBackoff. When it is 0, Interval applies.
 	MinBackoff time.Duration
 	MaxBackoff time.Duration
+	// BackoffFactor multiplies the interval after a failure. It may be nil, which
+	// means 1.
+	BackoffFactor func() float64
 	// Due reports whether to read. While it does not, it is called again after
 	// IdleInterval. It may be nil, which means always.
 	Due          func() bool
@@ -78,7 +81,11 @@
 		return loop.Interval
 	}
 	const maxDoublings = 16
-	return min(loop.MaxBackoff, loop.MinBackoff<<min(loop.failures-1, maxDoublings))
+	backoff := min(loop.MaxBackoff, loop.MinBackoff<<min(loop.failures-1, maxDoublings))
+	if loop.BackoffFactor != nil {
+		return time.Duration(loop.BackoffFactor() * float64(backoff))
+	}
+	return backoff
 }
 
 // readOnce reads once and reports a change. A read that was interrupted by the
