--- a/Makefile
+++ b/Makefile
@@ -58,5 +58,6 @@
 fuzz:
 	$(GO) test -run '^$$' -fuzz FuzzRead -fuzztime 30s ./frame
 	$(GO) test -run '^$$' -fuzz FuzzParse -fuzztime 30s ./setting
+	$(GO) test -run '^$$' -fuzz FuzzResponse -fuzztime 30s ./exchange
 
 .PHONY: bench capacity faults fuzz
--- a/exchange/limit_test.go
+++ b/exchange/limit_test.go
@@ -285,7 +285,8 @@
 		f.Add([]byte(seed))
 	}
 	f.Fuzz(func(t *testing.T, raw []byte) {
-		conn := &endlessConn{prefix: string(raw), block: "x"}
+		// Sampling the heap would take most of the time.
+		conn := &endlessConn{prefix: string(raw), block: "x", sampleAt: maxEndlessBytes + 1}
 		limited := pool()
 		limited.Dial = func(context.Context, string) (net.Conn, error) { return conn, nil }
 		response, err := limited.Do(context.Background(), exchange.Destination{Address: "server", MaxOpen: 1}, func() (*exchange.Request, error) {
--- a/link/link_test.go
+++ b/link/link_test.go
@@ -343,3 +343,30 @@
 	})
 	return client, pipes
 }
+
+// A peer that sends one byte a second counts as silent: its connection is replaced
+// long before a reply is complete.
+func TestTricklingPeerLosesItsConnection(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		near, far := net.Pipe()
+		var group sync.WaitGroup
+		defer group.Wait()
+		group.Go(func() { io.Copy(io.Discard, far) })
+		group.Go(func() {
+			reply, _ := frame.Frame{Type: frame.SubReply, Correlation: 1, Body: []byte("a reply that takes long")}.Append(nil)
+			for _, char := range reply {
+				time.Sleep(time.Second)
+				if _, err := far.Write([]byte{char}); err != nil {
+					return
+				}
+			}
+		})
+		client := &link.Client{Address: "pipe", Dial: func(string, string, time.Duration) (net.Conn, error) { return near, nil }}
+		defer client.Close()
+		start := time.Now()
+		_, err := client.Call(t.Context(), frame.SubRequest, []byte("request"))
+		qt.Assert(t, verdict.FailureOf(err).Code, qt.Equals, verdict.ConnectionLost)
+		qt.Assert(t, verdict.FailureOf(err).Verdict, qt.Equals, verdict.MayHaveRun)
+		qt.Assert(t, time.Since(start) < 2*time.Second, qt.IsTrue)
+	})
+}
