feed: have a reader without the configuration ask its peers

A reader whose reads of the configuration the store refuses, while it serves those of the lists, kept the older version for as long as that lasted: it asked no peer, since its lists were recent, though the others read the configuration themselves.

Recent lists and a recent confirmation are both needed now for a reader to ask nobody. TestReaderLearnsConfigurationFromPeers failed before.

--- a/feed/feed_test.go
+++ b/feed/feed_test.go
@@ -92,6 +92,7 @@
 			received.replicaUpdates++
 		},
 		UpdateHosts:   func([]shard.Host) {},
+		ConfigRecent:  group.feeds[name].ConfigRecent,
 		ConfirmConfig: group.feeds[name].ConfirmConfig,
 		Confirm:       func() { received.confirmations++ },
 		SourceChanged: func(host string) { received.sources = append(received.sources, host) },
--- a/feed/follower.go
+++ b/feed/follower.go
@@ -73,6 +73,9 @@
 	// ListsReadAt returns when this host itself last read the lists, the zero time
 	// if it never did.
 	ListsReadAt func() time.Time
+	// ConfigRecent reports whether the configuration was confirmed recently, to this
+	// host or to one that told this host.
+	ConfigRecent func() bool
 	// ConfirmConfig is called with a time at which the store held no newer
 	// configuration than the fetched one.
 	ConfirmConfig func(at time.Time)
@@ -209,7 +212,7 @@
 	}
 	ranking := follower.ranking()
 	candidates := ranking.candidates
-	if len(candidates) > 0 && candidates[0].Name == follower.Name && follower.Now().Sub(follower.ListsReadAt()) <= maxListAge {
+	if len(candidates) > 0 && candidates[0].Name == follower.Name && follower.readsSucceed() {
 		return nil
 	}
 	if follower.needsRemote() {
@@ -231,6 +234,11 @@
 	return err
 }
 
+// readsSucceed reports whether this host itself has read all data recently.
+func (follower *Follower) readsSucceed() bool {
+	return follower.ConfigRecent() && follower.Now().Sub(follower.ListsReadAt()) <= maxListAge
+}
+
 // needsRemote reports whether this host fetches from other failure domains when its
 // own has no recent lists. A host that does so continues, since it then receives
 // only changes.
