--- a/feed/feed.go
+++ b/feed/feed.go
@@ -178,15 +178,21 @@
 	if fetch.Version < feed.configVersion {
 		reply.Config = feed.config
 	}
-	if reply.AgeMicros == neverRead || reply.AgeMicros > maxListAge.Microseconds() {
-		// The follower rejects such old lists.
-		return reply
+	// The follower rejects older lists.
+	if reply.AgeMicros != neverRead && reply.AgeMicros <= maxListAge.Microseconds() {
+		feed.addLists(reply, fetch)
 	}
+	return reply
+}
+
+// addLists adds to a reply the changes of the lists since the follower's last fetch,
+// or the complete lists.
+func (feed *Feed) addLists(reply *message.FeedNews, fetch *message.FeedFetch) {
 	since := fetch.Sequence
 	switch {
 	case fetch.Source == feed.Name && since == feed.sequence:
 		reply.Unchanged = true
-		return reply
+		return
 	case fetch.Source != feed.Name || since < feed.oldestSequence || since > feed.sequence:
 		reply.Whole = true
 		since = 0
@@ -201,7 +207,6 @@
 	if reply.HostsChanged = reply.Whole || feed.hostsSequence > since; reply.HostsChanged {
 		reply.Hosts = encodeHosts(feed.hosts)
 	}
-	return reply
 }
 
 func (feed *Feed) removedSince(since uint64) []string {
