--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -17,6 +17,7 @@
 var cases = map[string]func(record *record, trouble bool) (broken bool){
 	"stop":     playStop,
 	"zone":     playZone,
+	"latebeat": playLateBeat,
 	"survivor": playSurvivor,
 }
 
--- a/review/harness/server.go
+++ b/review/harness/server.go
@@ -54,6 +54,8 @@
 	// records is the number of records in an answer; without any, the answer is a
 	// text.
 	records int
+	// manual is set when the case sends the server's beats itself.
+	manual bool
 	// store is where the server registers.
 	store  *store
 	record *record
@@ -94,6 +96,9 @@
 	if server.pause > 0 {
 		go server.pauseNowAndThen()
 	}
+	if server.manual {
+		return
+	}
 	go func() {
 		time.Sleep(rand.N(beatInterval))
 		for !server.isStopped() {
@@ -201,6 +206,7 @@
 	}
 	deadline := time.NewTimer(time.Duration(millis) * time.Millisecond)
 	defer deadline.Stop()
+	server.record.note("%s reaches %s", id, server.id)
 	server.mu.Lock()
 	server.arrivals[id] = arrived
 	if server.waiting >= maxQueue {
