--- a/review/harness/drain.go
+++ b/review/harness/drain.go
@@ -16,13 +16,16 @@
 		drainAt  = 4060 * time.Millisecond
 		interval = 20 * time.Millisecond
 		drain    = 3 * time.Second
+		// longer is how much longer than drain the leaving server serves.
+		longer   = 600 * time.Millisecond
+		workTime = 100 * time.Millisecond
 	)
 	store := newStore(0)
 	cluster := newCluster(record, store, []string{"kochi", "kochi"})
 	defer cluster.close()
 	var leaving *server
 	for _, id := range []string{"i-1", "i-2", "i-3"} {
-		server := &server{id: id, service: "booking", zone: "kochi", slots: 3, work: func() time.Duration { return 15 * time.Millisecond }, store: store, record: record, manual: id == "i-1"}
+		server := &server{id: id, service: "booking", zone: "kochi", slots: 8, work: func() time.Duration { return workTime }, store: store, record: record, manual: id == "i-1"}
 		server.start()
 		if server.manual {
 			leaving = server
@@ -51,8 +54,13 @@
 				time.AfterFunc(drainAt, func() {
 					drainedAt = leaving.drain()
 					record.say("%s is draining, acknowledged", leaving.id)
+					time.AfterFunc(drain+longer, func() {
+						leaving.leave()
+						leaving.crash()
+						record.say("%s has ended", leaving.id)
+					})
 				})
-			default:
+			case !leaving.isStopped():
 				leaving.beat()
 			}
 			beatAt = beatAt.Add(beatInterval - 4*time.Millisecond)
@@ -97,6 +105,15 @@
 			record.note("DRAIN: %s reached %s %.3f s after drain_ms", id, server.id, at.Sub(latest).Seconds())
 		}
 	}
+	record.mu.Lock()
+	cut := 0
+	for _, request := range record.sent {
+		if at, ok := server.arrivals[request.id]; ok && at.After(latest) && request.status != http.StatusOK {
+			cut++
+		}
+	}
+	record.mu.Unlock()
+	record.say("%d of the late ones were not answered with success", cut)
 	record.say("%d requests reached %s, %d of them later than drain_ms after the acknowledgement", len(server.arrivals), server.id, late)
 	return late
 }
