--- a/review/harness/stop.go
+++ b/review/harness/stop.go
@@ -14,13 +14,13 @@
 )
 
 // playStop stops one of two hosts while a service has one server left for a load
-// of 22 requests a second, and checks that each whole request gets an answer.
+// of 35 requests a second, and checks that each whole request gets an answer.
 func playStop(record *record, trouble bool) bool {
 	const (
-		length   = 26 * time.Second
+		length   = 22 * time.Second
 		shrinkAt = 4 * time.Second
-		stopAt   = 14 * time.Second
-		interval = 45 * time.Millisecond
+		stopAt   = 9 * time.Second
+		interval = 28 * time.Millisecond
 		limit    = 15 * time.Second
 		workTime = 220 * time.Millisecond
 	)
