--- a/review/build.sh
+++ b/review/build.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
 # Builds the harness, which holds all stand-ins of the scripts.
 set -eu
-cd "$(dirname "$0")"
-go build -o bin/harness ./harness
+cd "$(dirname "$0")/_harness"
+go build -o ../bin/harness .
