shutdown: answer each request before a stopping host ends

Cause: a stop waited for requests in flight until 0.7 s before SIGKILL and then ended the process. The waits of a request, for a connection in exchange.Pool and for a reply in dispatch, were bounded by its own deadline only. Ruled out: requests that were not read, answers that were written and lost, connections opened while the balancer lags.

Change: shutdown.Schedule divides the grace period. Requests are sent until LastSend, if the server's usual response time leaves time for the reply; then those that wait are refused as not run, urgent callers returning first. At LastAnswer those at servers are answered as they stand. Bundles for peers end by the same code.

--- a/dispatch/attempt.go
+++ b/dispatch/attempt.go
@@ -257,6 +257,8 @@
 		return "not idempotent"
 	case failure.Code == verdict.Cancelled || failure.Code == verdict.Paused:
 		return "cancelled or paused"
+	case failure.Code == verdict.Stopping:
+		return "this host stops"
 	case len(run.candidates(part)) == 0:
 		return "no other replica"
 	case failure.Code == verdict.Unreachable && part.unreachable+1 >= maxUnreachable:
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -19,6 +19,7 @@
 	"fescuehall/retry"
 	"fescuehall/roster"
 	"fescuehall/route"
+	"fescuehall/shutdown"
 	"fescuehall/suspect"
 	"fescuehall/verdict"
 )
@@ -164,6 +165,8 @@
 	// HeardFrom reports whether a peer has sent anything since a time. It may be
 	// nil, when that is not known.
 	HeardFrom func(peer string, since time.Time) bool
+	// Stop is the stop of this host; nil if it never stops.
+	Stop *shutdown.Stop
 	// Hosts returns the number of hosts that share the budget of extra requests.
 	Hosts func() int
 	// Picker chooses among replicas, by their IDs.
@@ -301,11 +304,8 @@
 // means that the caller has left, the answer is a failure.
 func (dispatcher *Dispatcher) Serve(ctx context.Context, request *Request) *Answer {
 	run := newRun(dispatcher, request)
-	if dispatcher.isolated(request.Route) {
-		return run.refuseIsolated()
-	}
-	if !dispatcher.servable(request.Route) {
-		return run.refuseUnservable()
+	if refusal := run.refuseUnlessServable(); refusal != nil {
+		return refusal
 	}
 	// The peer has already admitted a request that it sends here.
 	if !request.fromPeer() {
--- a/dispatch/result.go
+++ b/dispatch/result.go
@@ -27,6 +27,20 @@
 	return answer
 }
 
+// refuseUnlessServable answers a request that this host is known to be unable to
+// serve. It returns nil for any other.
+func (run *run) refuseUnlessServable() *Answer {
+	switch {
+	case !run.dispatcher.Stop.Admits(0):
+		return run.refuseStopping()
+	case run.dispatcher.isolated(run.request.Route):
+		return run.refuseIsolated()
+	case !run.dispatcher.servable(run.request.Route):
+		return run.refuseUnservable()
+	}
+	return nil
+}
+
 // isolatedRetryAfter is the delay after which the caller may retry a request
 // that an isolated host refused: the load balancer takes one to two seconds to
 // switch to other hosts.
@@ -55,6 +69,27 @@
 	return &Answer{Failure: verdict.New(verdict.NotRun, verdict.NoReplica, "too few shards have a replica that accepts requests"), RetryAfter: unservableRetryAfter}
 }
 
+// refuseStopping answers a request that this host can't serve before it stops.
+func (run *run) refuseStopping() *Answer {
+	run.cancel()
+	run.observe("stopping", time.Now())
+	run.dispatcher.Event("stopping", logbook.Fields{"id": run.request.ID, "route": run.request.Route.Name, "rank": run.request.Route.Rank, "version": run.request.Version})
+	return &Answer{Failure: verdict.New(verdict.NotRun, verdict.Stopping, "this host stops"), RetryAfter: run.stoppingRetryAfter()}
+}
+
+// stoppingRetryAfter returns the delay after which the caller of a request that this
+// host refuses to stop may send it to another host. A stop refuses many requests at
+// once: the urgent ones return first, and those of a rank not all at the same time.
+func (run *run) stoppingRetryAfter() time.Duration {
+	const (
+		minDelay = 10 * time.Millisecond
+		rankStep = 150 * time.Millisecond
+		maxRank  = 3
+	)
+	steps := float64(min(run.request.Route.Rank, maxRank)) + run.dispatcher.Random()
+	return minDelay + time.Duration(steps*float64(rankStep))
+}
+
 // answer returns the answer to the request.
 func (run *run) answer(callerLeft bool) *Answer {
 	if callerLeft {
@@ -118,10 +153,16 @@
 			cause = part.lastFailure.Failure
 		}
 	}
-	if !time.Now().Before(run.request.Deadline.Add(-deadlineMargin)) {
+	switch {
+	case !time.Now().Before(run.request.Deadline.Add(-deadlineMargin)):
 		cause = verdict.New(worst, verdict.DeadlinePassed, "no answer before the deadline")
+	case run.stopped:
+		cause = verdict.New(worst, verdict.Stopping, "this host stops before all replies have arrived")
 	}
 	failure := verdict.New(worst, cause.Code, "%d of %d parts answered, %d needed: %s", run.answered, len(run.parts), run.request.Route.MinShards(), cause.Detail)
+	if failure.Code == verdict.Stopping {
+		return &Answer{Failure: failure, RetryAfter: run.stoppingRetryAfter()}
+	}
 	return &Answer{Failure: failure, RetryAfter: failureRetryAfter}
 }
 
--- a/dispatch/run.go
+++ b/dispatch/run.go
@@ -65,6 +65,8 @@
 	retries  int
 	// partial is set when partialAt led to the answer or the first report.
 	partial bool
+	// stopped is set when this host stops before all parts have ended.
+	stopped bool
 	// inTime is set when the request was answered before its target.
 	inTime bool
 	// reportedAt is when parts were last reported to the requesting peer.
@@ -135,6 +137,8 @@
 		case <-timer.C:
 			run.abandonSilentBundles(time.Now())
 			run.hedgeLateParts(time.Now())
+		case <-run.dispatcher.Stop.AnsweringEnded():
+			run.stopped = true
 		case <-ctx.Done():
 			return true
 		}
@@ -144,7 +148,7 @@
 
 // settled reports whether waiting longer can't give a better answer in time.
 func (run *run) settled(now time.Time) bool {
-	if run.pending == 0 || !now.Before(run.request.Deadline.Add(-deadlineMargin)) {
+	if run.stopped || run.pending == 0 || !now.Before(run.request.Deadline.Add(-deadlineMargin)) {
 		return true
 	}
 	if !run.partialAt.IsZero() && !now.Before(run.partialAt) {
--- a/exchange/pool.go
+++ b/exchange/pool.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"fescuehall/quota"
+	"fescuehall/shutdown"
 	"fescuehall/verdict"
 )
 
@@ -34,6 +35,9 @@
 	// Oversized is called with the address of a server whose response exceeds a
 	// limit; it may be nil.
 	Oversized func(address string, err *quota.LimitError)
+	// Stop ends the sending of requests when the host stops. Those that wait for a
+	// connection are then refused. It may be nil.
+	Stop *shutdown.Stop
 
 	mu      sync.Mutex
 	servers map[string]*server
@@ -73,11 +77,16 @@
 }
 
 // get returns an idle connection or opens one. It waits while as many
-// connections are in use as the destination and the server's queue allow.
+// connections are in use as the destination and the server's queue allow, but no
+// longer than requests are sent during a stop of the host.
 func (pool *Pool) get(ctx context.Context, destination Destination) (*conn, error) {
 	pool.mu.Lock()
 	server := pool.server(destination.Address)
 	server.maxOpen = destination.MaxOpen
+	if !pool.Stop.Admits(server.responseTime) {
+		pool.mu.Unlock()
+		return nil, stoppingFailure(destination.Address)
+	}
 	if server.canUse() {
 		conn := server.take(time.Now())
 		pool.mu.Unlock()
@@ -88,13 +97,31 @@
 	pool.mu.Unlock()
 	select {
 	case conn := <-waiter.granted:
+		if !pool.admits(destination.Address) {
+			pool.giveBack(destination.Address, conn)
+			return nil, stoppingFailure(destination.Address)
+		}
 		return pool.openIfNil(ctx, destination.Address, conn)
+	case <-pool.Stop.SendingEnded():
+		pool.cancelWait(destination.Address, waiter)
+		return nil, stoppingFailure(destination.Address)
 	case <-ctx.Done():
 		pool.cancelWait(destination.Address, waiter)
 		return nil, verdict.New(verdict.NotRun, verdict.Cancelled, "wait for a connection to %s: %v", destination.Address, context.Cause(ctx))
 	}
 }
 
+// admits reports whether a request may still be sent to a server.
+func (pool *Pool) admits(address string) bool {
+	pool.mu.Lock()
+	defer pool.mu.Unlock()
+	return pool.Stop.Admits(pool.server(address).responseTime)
+}
+
+func stoppingFailure(address string) *verdict.Failure {
+	return verdict.New(verdict.NotRun, verdict.Stopping, "this host stops before a reply of %s is expected", address)
+}
+
 // take returns an idle connection, or nil after it has counted one that the
 // caller is to open.
 func (server *server) take(now time.Time) *conn {
@@ -194,7 +221,13 @@
 	if removed {
 		return
 	}
-	if conn := <-waiter.granted; conn != nil {
+	pool.giveBack(address, <-waiter.granted)
+}
+
+// giveBack returns what a waiter was granted: a connection, or nil as permission to
+// open one.
+func (pool *Pool) giveBack(address string, conn *conn) {
+	if conn != nil {
 		pool.put(conn)
 		return
 	}
--- /dev/null
+++ b/shutdown/shutdown_test.go
@@ -0,0 +1,83 @@
+package shutdown_test
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"fescuehall/shutdown"
+)
+
+// Whatever the grace period, requests at servers are awaited into its last sixth, and
+// there is time to write the last answers.
+func TestSchedule(t *testing.T) {
+	now := time.Unix(100, 0)
+	for _, grace := range []time.Duration{0, time.Second, 4 * time.Second, 6 * time.Second, time.Minute} {
+		schedule := shutdown.NewSchedule(now, grace)
+		comment := qt.Commentf("grace %v: %+v", grace, schedule)
+		qt.Check(t, schedule.LastAccept.Before(now), qt.IsFalse, comment)
+		qt.Check(t, schedule.LastSend.Before(schedule.LastAccept), qt.IsFalse, comment)
+		qt.Check(t, schedule.LastAnswer.Before(schedule.LastSend), qt.IsFalse, comment)
+		qt.Check(t, schedule.LastAnswer.Before(now.Add(grace*5/6)), qt.IsFalse, comment)
+		qt.Check(t, schedule.Exit.Before(schedule.LastAnswer), qt.IsFalse, comment)
+		qt.Check(t, schedule.Exit.After(now.Add(grace)), qt.IsFalse, comment)
+	}
+}
+
+// state is what a Stop says at one time.
+type state struct {
+	Sending, Answering, AdmitsFast, AdmitsSlow bool
+}
+
+func stateOf(stop *shutdown.Stop) state {
+	return state{
+		Sending:    isOpen(stop.SendingEnded()),
+		Answering:  isOpen(stop.AnsweringEnded()),
+		AdmitsFast: stop.Admits(0),
+		AdmitsSlow: stop.Admits(4 * time.Second),
+	}
+}
+
+func isOpen(ended <-chan struct{}) bool {
+	select {
+	case <-ended:
+		return false
+	default:
+		return true
+	}
+}
+
+// Requests are sent until LastSend and awaited until LastAnswer. One whose reply is
+// expected after that is not sent.
+func TestStop(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		stop := shutdown.New()
+		qt.Check(t, stateOf(stop), qt.Equals, state{true, true, true, true})
+		begin := time.Now()
+		schedule := shutdown.NewSchedule(begin, 6*time.Second)
+		stop.Begin(schedule)
+		qt.Check(t, stateOf(stop), qt.Equals, state{true, true, true, true})
+		for _, step := range []struct {
+			at   time.Time
+			want state
+		}{
+			{begin.Add(2 * time.Second), state{true, true, true, false}},
+			{schedule.LastSend, state{false, true, false, false}},
+			{schedule.LastAnswer, state{false, false, false, false}},
+		} {
+			time.Sleep(time.Until(step.at))
+			synctest.Wait()
+			qt.Check(t, stateOf(stop), qt.Equals, step.want, qt.Commentf("after %v", step.at.Sub(begin)))
+		}
+		// A second signal changes nothing.
+		stop.Begin(shutdown.NewSchedule(time.Now(), time.Minute))
+		qt.Check(t, stateOf(stop), qt.Equals, state{})
+	})
+}
+
+func TestNilStopNeverStops(t *testing.T) {
+	var stop *shutdown.Stop
+	qt.Check(t, stateOf(stop), qt.Equals, state{true, true, true, true})
+}
--- a/story/story.go
+++ b/story/story.go
@@ -109,6 +109,8 @@
 		return fmt.Sprintf("refused as not run: the refusal probability of rank %s was %s, from the share of recent requests answered in time", field("rank"), field("chance"))
 	case "cut off":
 		return "refused as not run: this host reaches no other failure domain"
+	case "stopping":
+		return "refused as not run: this host was stopping, and no longer sent requests to servers"
 	case "unservable":
 		return "refused as not run: too few of its shards had a replica"
 	case "peer failed":
--- a/story/story_test.go
+++ b/story/story_test.go
@@ -20,6 +20,7 @@
 {"host":"h1","id":"abc","msg":"peer failed","part":"request","peer":"h2","shards":8,"took_ms":349,"verdict":"MayHaveRun","detail":"cancelled","time":"2026-01-01T10:00:03.100Z"}
 {"host":"h1","id":"abc","msg":"failed","part":"request","code":"Cancelled","verdict":"Ran","detail":"11 of 20 parts answered, 18 needed","in":11,"parts":20,"took_ms":350,"hedges":1,"retries":0,"cut":false,"missing":"s3: no replica accepts requests","peer_h2":"0 of 8 answered","time":"2026-01-01T10:00:03.100Z"}
 {"host":"h1","msg":"paused","part":"host","paused_ms":3500,"time":"2026-01-01T10:00:04.000Z"}
+{"host":"h1","id":"late","msg":"stopping","part":"request","time":"2026-01-01T10:00:04.400Z"}
 {"host":"h1","id":"late","msg":"unservable","part":"request","time":"2026-01-01T10:00:04.500Z"}
 {"host":"h1","id":"other","msg":"answered","part":"request","time":"2026-01-01T10:00:03.200Z"}
 `
@@ -67,6 +68,7 @@
 	story.Sort(lines)
 	explained := strings.Join(story.Explain(lines, "late"), "\n")
 	qt.Assert(t, explained, qt.Contains, "h1: refused as not run: too few of its shards had a replica")
+	qt.Assert(t, explained, qt.Contains, "h1: refused as not run: this host was stopping")
 	qt.Assert(t, explained, qt.Contains, "was paused for 3.5 s until 0.5 s earlier")
 }
 
