feed: fetch configurations in parts, and let reads last while they advance

Cause: time limits that did not depend on the size of a transfer, 0.25 s for a fetch from a peer, 0.4 s and 1 s for a read of the store. Each attempt was given up before its end, and the next one began at the first byte while bytes of the last were still on the link. The logs of ten followers show the reader with the version after 0.2 s, their fetches "cancelled after sending", then reads of the store, and the version on none of them until the end. Ruled out: decoding, the reader, refusals by the store.

Change: followers fetch parts of 32 KiB, each within the old time limit, and continue where they were, at other hosts too. Readers keep the versions that are being fetched. Followers don't read the store as well while parts arrive. Hosts of an earlier release get whole configurations.

--- a/feed/feed.go
+++ b/feed/feed.go
@@ -4,7 +4,6 @@
 package feed
 
 import (
-	"bytes"
 	"slices"
 	"sync"
 	"time"
@@ -27,9 +26,9 @@
 	// chance.
 	Random func(n uint64) uint64
 
-	mu             sync.Mutex
-	configVersion  uint64
-	config         []byte
+	mu sync.Mutex
+	// configs holds versions of the configuration, the newest last.
+	configs        []keptConfig
 	replicas       map[string]trackedReplica
 	hosts          []shard.Host
 	sequence       uint64
@@ -88,17 +87,6 @@
 	return known && age <= maxConfigAge
 }
 
-// PutConfig stores a configuration that was read, if it is newer than the
-// stored one.
-func (feed *Feed) PutConfig(version uint64, config []byte) {
-	feed.mu.Lock()
-	defer feed.mu.Unlock()
-	if version > feed.configVersion {
-		feed.configVersion = version
-		feed.config = bytes.Clone(config)
-	}
-}
-
 // nextSequence returns the sequence for changes that are about to be recorded.
 // It initializes the feed at the first call.
 func (feed *Feed) nextSequence() uint64 {
@@ -174,10 +162,8 @@
 func (feed *Feed) Answer(fetch *message.FeedFetch) *message.FeedNews {
 	feed.mu.Lock()
 	defer feed.mu.Unlock()
-	reply := &message.FeedNews{Version: feed.configVersion, Source: feed.Name, Sequence: feed.sequence, AgeMicros: feed.age(feed.listsReadAt()), ConfigAgeMicros: feed.age(feed.configConfirmedAt)}
-	if fetch.Version < feed.configVersion {
-		reply.Config = feed.config
-	}
+	reply := &message.FeedNews{Source: feed.Name, Sequence: feed.sequence, AgeMicros: feed.age(feed.listsReadAt()), ConfigAgeMicros: feed.age(feed.configConfirmedAt)}
+	feed.addConfig(reply, fetch)
 	// The follower rejects older lists.
 	if reply.AgeMicros != neverRead && reply.AgeMicros <= maxListAge.Microseconds() {
 		feed.addLists(reply, fetch)
--- a/feed/follower.go
+++ b/feed/follower.go
@@ -86,6 +86,7 @@
 	lastSource shard.Host
 	// firstFetchAt is when FetchOnce was first called.
 	firstFetchAt time.Time
+	transfer     transfer
 }
 
 // MustReadStore reports whether this host has to read the store itself: because
@@ -170,41 +171,81 @@
 	return followsRemote || follower.Now().Sub(since) > remoteListAge
 }
 
+// fetch fetches from a host until this one has the host's configuration.
 func (follower *Follower) fetch(ctx context.Context, host shard.Host) error {
+	for {
+		more, err := follower.fetchPart(ctx, host)
+		if err != nil || !more {
+			return err
+		}
+	}
+}
+
+// Transferring reports whether a configuration is being received from a peer and will
+// soon be complete, so that reading it from the store as well would only delay it.
+func (follower *Follower) Transferring() bool {
+	return follower.transfer.advancing(follower.Now())
+}
+
+// fetchPart fetches the changes of the lists and the next part of a newer
+// configuration. It reports whether the host has more of it.
+func (follower *Follower) fetchPart(ctx context.Context, host shard.Host) (more bool, err error) {
 	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
 	defer cancel()
 	sentAt := follower.Now()
-	reply, err := follower.SendFetch(ctx, host, &message.FeedFetch{Version: follower.Version(), Source: follower.source, Sequence: follower.sequence})
+	fetch := &message.FeedFetch{Version: follower.Version(), Source: follower.source, Sequence: follower.sequence, MaxConfigBytes: partBytes}
+	fetch.PartVersion, fetch.PartOffset = follower.transfer.next()
+	reply, err := follower.SendFetch(ctx, host, fetch)
 	if err != nil {
-		return err
+		return false, err
 	}
 	// The other host may have computed its ages as early as at sentAt.
 	elapsed := follower.Now().Sub(sentAt)
 	configAge := time.Duration(reply.ConfigAgeMicros) * time.Microsecond
 	if reply.ConfigAgeMicros == neverRead || configAge+elapsed > maxConfigAge {
-		return fmt.Errorf("host %s has no recent configuration, age %v", host.Name, configAge+elapsed)
+		return false, fmt.Errorf("host %s has no recent configuration, age %v", host.Name, configAge+elapsed)
 	}
 	if len(reply.Config) > 0 {
-		if err := follower.ApplyConfig(reply.Config); err != nil {
-			return err
+		if err := follower.receiveConfig(reply); err != nil {
+			return false, fmt.Errorf("host %s: %w", host.Name, err)
 		}
 	}
-	follower.ConfirmConfig(sentAt.Add(-configAge))
+	more = len(reply.Config) > 0 && follower.Version() < reply.Version
+	if follower.Version() >= reply.Version {
+		follower.ConfirmConfig(sentAt.Add(-configAge))
+	}
 	listAge := time.Duration(reply.AgeMicros) * time.Microsecond
 	if reply.AgeMicros == neverRead || listAge+elapsed > maxListAge {
-		return fmt.Errorf("host %s has no recent lists, age %v", host.Name, listAge+elapsed)
+		return false, fmt.Errorf("host %s has no recent lists, age %v", host.Name, listAge+elapsed)
 	}
 	readAt := sentAt.Add(-listAge)
 	if readAt.Before(follower.readAt()) {
 		// Older lists may hold a replica that left.
-		return nil
+		return more, nil
 	}
 	follower.fetchedReadAt.Store(&readAt)
 	if reply.Unchanged {
 		follower.Confirm()
-		return nil
+		return more, nil
 	}
 	follower.apply(reply)
+	return more, nil
+}
+
+// receiveConfig adds the part of a configuration in a reply, and applies the
+// configuration once it is complete.
+func (follower *Follower) receiveConfig(reply *message.FeedNews) error {
+	config, err := follower.transfer.add(reply, follower.Now())
+	if err != nil || config == nil {
+		return err
+	}
+	before := follower.Version()
+	if err := follower.ApplyConfig(config); err != nil {
+		return err
+	}
+	if follower.Version() == before {
+		return fmt.Errorf("the configuration of version %d is not newer than version %d", reply.Version, before)
+	}
 	return nil
 }
 
--- a/message/message.go
+++ b/message/message.go
@@ -37,6 +37,17 @@
 // FeedFetch asks a host that reads the store for what has changed in the
 // configuration and in the lists of replicas and hosts.
 type FeedFetch struct {
+	// Maximum size of the part of a configuration that the reply may contain, 0 for a
+	// whole one.
+	MaxConfigBytes int64 `json:"MaxConfigBytes"`
+
+	// Number of bytes that the requesting host has of PartVersion.
+	PartOffset int64 `json:"PartOffset"`
+
+	// Version of the configuration of which the requesting host has the first
+	// PartOffset bytes, 0 for none.
+	PartVersion uint64 `json:"PartVersion"`
+
 	// Sequence number of these lists at that host.
 	Sequence uint64 `json:"Sequence"`
 
@@ -57,14 +68,17 @@
 	// read.
 	AgeMicros int64 `json:"AgeMicros"`
 
-	// The configuration as operators wrote it, empty if the requesting host has this
-	// version.
+	// The configuration as operators wrote it, or a part of it, empty if the
+	// requesting host has this version.
 	Config []byte `json:"Config"`
 
 	// Time since the store last confirmed the configuration, in microseconds, -1 if
 	// it never did.
 	ConfigAgeMicros int64 `json:"ConfigAgeMicros"`
 
+	// Size of that configuration, in bytes.
+	ConfigBytes int64 `json:"ConfigBytes"`
+
 	// IDs of the replicas that were removed since the requesting host's lists.
 	Gone []string `json:"Gone"`
 
@@ -74,6 +88,12 @@
 	// Set when Hosts contains the list of entry hosts.
 	HostsChanged bool `json:"HostsChanged"`
 
+	// Position of Config in that configuration, in bytes.
+	PartOffset int64 `json:"PartOffset"`
+
+	// Version of the configuration of which Config is a part, 0 if Config is whole.
+	PartVersion uint64 `json:"PartVersion"`
+
 	// Replicas that have changed since the requesting host's lists, or all replicas
 	// if Whole is set.
 	Replicas []ListedReplica `json:"Replicas"`
--- a/message/message_gen.go
+++ b/message/message_gen.go
@@ -285,9 +285,18 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *FeedFetch) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 4
+	// map header, size 7
+	// string "MaxConfigBytes"
+	o = append(o, 0x87, 0xae, 0x4d, 0x61, 0x78, 0x43, 0x6f, 0x6e, 0x66, 0x69, 0x67, 0x42, 0x79, 0x74, 0x65, 0x73)
+	o = msgp.AppendInt64(o, z.MaxConfigBytes)
+	// string "PartOffset"
+	o = append(o, 0xaa, 0x50, 0x61, 0x72, 0x74, 0x4f, 0x66, 0x66, 0x73, 0x65, 0x74)
+	o = msgp.AppendInt64(o, z.PartOffset)
+	// string "PartVersion"
+	o = append(o, 0xab, 0x50, 0x61, 0x72, 0x74, 0x56, 0x65, 0x72, 0x73, 0x69, 0x6f, 0x6e)
+	o = msgp.AppendUint64(o, z.PartVersion)
 	// string "Sequence"
-	o = append(o, 0x84, 0xa8, 0x53, 0x65, 0x71, 0x75, 0x65, 0x6e, 0x63, 0x65)
+	o = append(o, 0xa8, 0x53, 0x65, 0x71, 0x75, 0x65, 0x6e, 0x63, 0x65)
 	o = msgp.AppendUint64(o, z.Sequence)
 	// string "Source"
 	o = append(o, 0xa6, 0x53, 0x6f, 0x75, 0x72, 0x63, 0x65)
@@ -326,6 +335,24 @@
 			return
 		}
 		switch msgp.UnsafeString(field) {
+		case "MaxConfigBytes":
+			z.MaxConfigBytes, bts, err = msgp.ReadInt64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "MaxConfigBytes")
+				return
+			}
+		case "PartOffset":
+			z.PartOffset, bts, err = msgp.ReadInt64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "PartOffset")
+				return
+			}
+		case "PartVersion":
+			z.PartVersion, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "PartVersion")
+				return
+			}
 		case "Sequence":
 			z.Sequence, bts, err = msgp.ReadUint64Bytes(bts)
 			if err != nil {
@@ -377,7 +404,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *FeedFetch) Msgsize() (s int) {
-	s = 1 + 9 + msgp.Uint64Size + 7 + msgp.StringPrefixSize + len(z.Source) + 8 + msgp.ArrayHeaderSize
+	s = 1 + 15 + msgp.Int64Size + 11 + msgp.Int64Size + 12 + msgp.Uint64Size + 9 + msgp.Uint64Size + 7 + msgp.StringPrefixSize + len(z.Source) + 8 + msgp.ArrayHeaderSize
 	for za0001 := range z.Streaks {
 		s += z.Streaks[za0001].Msgsize()
 	}
@@ -388,9 +415,9 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *FeedNews) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 13
+	// map header, size 16
 	// string "AgeMicros"
-	o = append(o, 0x8d, 0xa9, 0x41, 0x67, 0x65, 0x4d, 0x69, 0x63, 0x72, 0x6f, 0x73)
+	o = append(o, 0xde, 0x0, 0x10, 0xa9, 0x41, 0x67, 0x65, 0x4d, 0x69, 0x63, 0x72, 0x6f, 0x73)
 	o = msgp.AppendInt64(o, z.AgeMicros)
 	// string "Config"
 	o = append(o, 0xa6, 0x43, 0x6f, 0x6e, 0x66, 0x69, 0x67)
@@ -398,6 +425,9 @@
 	// string "ConfigAgeMicros"
 	o = append(o, 0xaf, 0x43, 0x6f, 0x6e, 0x66, 0x69, 0x67, 0x41, 0x67, 0x65, 0x4d, 0x69, 0x63, 0x72, 0x6f, 0x73)
 	o = msgp.AppendInt64(o, z.ConfigAgeMicros)
+	// string "ConfigBytes"
+	o = append(o, 0xab, 0x43, 0x6f, 0x6e, 0x66, 0x69, 0x67, 0x42, 0x79, 0x74, 0x65, 0x73)
+	o = msgp.AppendInt64(o, z.ConfigBytes)
 	// string "Gone"
 	o = append(o, 0xa4, 0x47, 0x6f, 0x6e, 0x65)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Gone)))
@@ -417,6 +447,12 @@
 	// string "HostsChanged"
 	o = append(o, 0xac, 0x48, 0x6f, 0x73, 0x74, 0x73, 0x43, 0x68, 0x61, 0x6e, 0x67, 0x65, 0x64)
 	o = msgp.AppendBool(o, z.HostsChanged)
+	// string "PartOffset"
+	o = append(o, 0xaa, 0x50, 0x61, 0x72, 0x74, 0x4f, 0x66, 0x66, 0x73, 0x65, 0x74)
+	o = msgp.AppendInt64(o, z.PartOffset)
+	// string "PartVersion"
+	o = append(o, 0xab, 0x50, 0x61, 0x72, 0x74, 0x56, 0x65, 0x72, 0x73, 0x69, 0x6f, 0x6e)
+	o = msgp.AppendUint64(o, z.PartVersion)
 	// string "Replicas"
 	o = append(o, 0xa8, 0x52, 0x65, 0x70, 0x6c, 0x69, 0x63, 0x61, 0x73)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Replicas)))
@@ -491,6 +527,12 @@
 				err = msgp.WrapError(err, "ConfigAgeMicros")
 				return
 			}
+		case "ConfigBytes":
+			z.ConfigBytes, bts, err = msgp.ReadInt64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "ConfigBytes")
+				return
+			}
 		case "Gone":
 			var zb0002 uint32
 			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
@@ -535,6 +577,18 @@
 				err = msgp.WrapError(err, "HostsChanged")
 				return
 			}
+		case "PartOffset":
+			z.PartOffset, bts, err = msgp.ReadInt64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "PartOffset")
+				return
+			}
+		case "PartVersion":
+			z.PartVersion, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "PartVersion")
+				return
+			}
 		case "Replicas":
 			var zb0004 uint32
 			zb0004, bts, err = msgp.ReadArrayHeaderBytes(bts)
@@ -617,7 +671,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *FeedNews) Msgsize() (s int) {
-	s = 1 + 10 + msgp.Int64Size + 7 + msgp.BytesPrefixSize + len(z.Config) + 16 + msgp.Int64Size + 5 + msgp.ArrayHeaderSize
+	s = 3 + 10 + msgp.Int64Size + 7 + msgp.BytesPrefixSize + len(z.Config) + 16 + msgp.Int64Size + 12 + msgp.Int64Size + 5 + msgp.ArrayHeaderSize
 	for za0001 := range z.Gone {
 		s += msgp.StringPrefixSize + len(z.Gone[za0001])
 	}
@@ -625,7 +679,7 @@
 	for za0002 := range z.Hosts {
 		s += z.Hosts[za0002].Msgsize()
 	}
-	s += 13 + msgp.BoolSize + 9 + msgp.ArrayHeaderSize
+	s += 13 + msgp.BoolSize + 11 + msgp.Int64Size + 12 + msgp.Uint64Size + 9 + msgp.ArrayHeaderSize
 	for za0003 := range z.Replicas {
 		s += z.Replicas[za0003].Msgsize()
 	}
