caller: don't serve requests whose connection was closed while being read

Cause: the limiter closes connections without a request in progress, and a request counts as such only when its handler begins; between the read of its head and that moment the connection could be closed and the request was served anyway. Bytes read as the connection was closed are dropped now, and the handler ends requests whose connection was closed before it began.

TestRequestOnClosedConnectionIsNotServed failed 3 of 3 before, and passes 5 of 5 with the race detector.

--- a/caller/limiter.go
+++ b/caller/limiter.go
@@ -157,7 +157,12 @@
 	limiter := conn.limiter
 	limiter.mu.Lock()
 	defer limiter.mu.Unlock()
-	if conn.list == nil || conn.closed {
+	if conn.closed {
+		// A request that was read as the connection was closed must not be served:
+		// nobody would get its answer.
+		return 0, net.ErrClosed
+	}
+	if conn.list == nil {
 		return count, err
 	}
 	for !conn.head.Reserve(count * headExpansion) {
@@ -168,15 +173,17 @@
 	return count, err
 }
 
-// begin marks the connection as having a request in progress.
-func (conn *limitedConn) begin() {
+// begin marks the connection as having a request in progress. It returns false when
+// the connection was closed after the request's head was read.
+func (conn *limitedConn) begin() bool {
 	conn.limiter.mu.Lock()
 	defer conn.limiter.mu.Unlock()
 	if conn.closed {
-		return
+		return false
 	}
 	conn.moveTo(nil)
 	conn.head.Release()
+	return true
 }
 
 // end marks the connection as idle.
@@ -191,11 +198,14 @@
 }
 
 // Handler returns a handler that marks connections as in use while next
-// handles their requests. It needs Attach as the server's ConnContext.
+// handles their requests. A request whose connection was closed meanwhile does not
+// reach next. It needs Attach as the server's ConnContext.
 func Handler(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
 		if attached, ok := request.Context().Value(contextKey{}).(*conn); ok && attached.limited != nil {
-			attached.limited.begin()
+			if !attached.limited.begin() {
+				panic(http.ErrAbortHandler)
+			}
 			defer attached.limited.end()
 		}
 		next.ServeHTTP(writer, request)
