reach: end an isolation that nobody is left to refute

Cause: an isolation ended only by an answer from another failure domain, but isolated hosts sent nothing there, and when the lost hosts had left the list there was nobody to probe. Ruled out: the servers, the list, the readiness check.

A host without known hosts elsewhere is not isolated any more, and an isolated host sends one gathered request every 500 ms.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -255,7 +255,7 @@
 
 // isolated reports whether this host can't answer a gathered request because no
 // other failure domain can be reached and too few of the shards have a replica
-// in this host's failure domain.
+// in this host's failure domain. From time to time it lets a request try.
 func (dispatcher *Dispatcher) isolated(route *route.Route) bool {
 	if dispatcher.Reach == nil || !route.Gathers() || !dispatcher.Reach.Isolated() {
 		return false
@@ -266,7 +266,7 @@
 			localShards++
 		}
 	}
-	return localShards < route.MinShards()
+	return localShards < route.MinShards() && !dispatcher.Reach.TakeTrial()
 }
 
 // servable reports whether enough shards of a gathered request have a replica
--- a/reach/reach.go
+++ b/reach/reach.go
@@ -24,6 +24,9 @@
 	probeTimeout  = 300 * time.Millisecond
 	// maxProbed is the number of peers that are probed at once.
 	maxProbed = 4
+	// trialInterval is the time between two requests that an isolated host sends to
+	// other failure domains all the same.
+	trialInterval = 500 * time.Millisecond
 )
 
 // Monitor tracks whether this host is isolated. Set the fields before use.
@@ -45,10 +48,17 @@
 	misses   int
 	lastMiss time.Time
 	isolated bool
+	// lastTrial is when TakeTrial last returned true, or the isolation began.
+	lastTrial time.Time
 }
 
 // RecordReply records an answer from another failure domain.
 func (monitor *Monitor) RecordReply() {
+	monitor.clear()
+}
+
+// clear forgets the misses and ends the isolation.
+func (monitor *Monitor) clear() {
 	monitor.mu.Lock()
 	defer monitor.mu.Unlock()
 	monitor.misses = 0
@@ -80,9 +90,24 @@
 		return
 	}
 	monitor.isolated = isolated
+	monitor.lastTrial = monitor.Now()
 	monitor.Changed(isolated)
 }
 
+// TakeTrial reports whether an isolated host is to send a request to other failure
+// domains. Servers there may answer although none of the known hosts does, and one
+// answer ends the isolation.
+func (monitor *Monitor) TakeTrial() bool {
+	monitor.mu.Lock()
+	defer monitor.mu.Unlock()
+	now := monitor.Now()
+	if !monitor.isolated || now.Sub(monitor.lastTrial) < trialInterval {
+		return false
+	}
+	monitor.lastTrial = now
+	return true
+}
+
 // needsProbe reports whether the host may be or is isolated.
 func (monitor *Monitor) needsProbe() bool {
 	monitor.mu.Lock()
@@ -108,7 +133,8 @@
 
 // probe probes some peers of other failure domains concurrently. One answer
 // shows that the host is not isolated. A host without peers in other failure
-// domains can't tell and is not considered isolated.
+// domains can't tell and is not considered isolated, also when the last of them has
+// left the list of hosts.
 func (monitor *Monitor) probe(ctx context.Context) {
 	var remote []shard.Host
 	for _, peer := range monitor.Peers() {
@@ -116,6 +142,10 @@
 			remote = append(remote, peer)
 		}
 	}
+	if len(remote) == 0 {
+		monitor.clear()
+		return
+	}
 	monitor.Shuffle(len(remote), func(i, j int) { remote[i], remote[j] = remote[j], remote[i] })
 	remote = remote[:min(len(remote), maxProbed)]
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
@@ -130,7 +160,7 @@
 			return
 		}
 	}
-	if len(remote) > 0 && ctx.Err() != context.Canceled {
+	if ctx.Err() != context.Canceled {
 		monitor.mu.Lock()
 		defer monitor.mu.Unlock()
 		monitor.setIsolated(true)
--- a/reach/reach_test.go
+++ b/reach/reach_test.go
@@ -97,3 +97,73 @@
 	})
 	qt.Assert(t, probed, qt.IsFalse)
 }
+
+// newSilentMonitor returns a monitor whose probes are never answered.
+func newSilentMonitor(peers func() []shard.Host) *reach.Monitor {
+	return &reach.Monitor{
+		Domain: "a",
+		Now:    time.Now,
+		Peers:  peers,
+		Probe: func(ctx context.Context, _ shard.Host) error {
+			<-ctx.Done()
+			return errors.New("no answer")
+		},
+		Shuffle: func(int, func(i, j int)) {},
+		Changed: func(bool) {},
+	}
+}
+
+// isolate has a monitor miss answers until it takes the host for isolated.
+func isolate(t *testing.T, monitor *reach.Monitor) {
+	for range 4 {
+		monitor.RecordMiss()
+	}
+	time.Sleep(time.Second)
+	qt.Assert(t, monitor.Isolated(), qt.IsTrue)
+}
+
+// Guards against a host that stays isolated for good: the others have left the list of
+// hosts, so that nobody is left to answer its probes.
+func TestIsolationEndsWithoutPeers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var gone atomic.Bool
+		monitor := newSilentMonitor(func() []shard.Host {
+			if gone.Load() {
+				return peers()[:1]
+			}
+			return peers()
+		})
+		ctx, cancel := context.WithCancel(t.Context())
+		go monitor.Run(ctx)
+		isolate(t, monitor)
+		gone.Store(true)
+		time.Sleep(time.Second)
+		qt.Check(t, monitor.Isolated(), qt.IsFalse)
+		cancel()
+		synctest.Wait()
+	})
+}
+
+// An isolated host lets few requests try other failure domains, and no more once it is
+// not isolated.
+func TestTrialsAreBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		monitor := newSilentMonitor(peers)
+		ctx, cancel := context.WithCancel(t.Context())
+		go monitor.Run(ctx)
+		qt.Check(t, monitor.TakeTrial(), qt.IsFalse)
+		isolate(t, monitor)
+		trials := 0
+		for range 1000 {
+			if monitor.TakeTrial() {
+				trials++
+			}
+			time.Sleep(10 * time.Millisecond)
+		}
+		qt.Check(t, trials, qt.Equals, 20)
+		monitor.RecordReply()
+		qt.Check(t, monitor.TakeTrial(), qt.IsFalse)
+		cancel()
+		synctest.Wait()
+	})
+}
