roster: order the entries of a replica by incarnation and sequence

Cause: entries and lists were taken in the order in which they were read, not in which they were written.

Roster remembers the newest entry of each replica and ignores older ones; a process that leaves does not accept requests again. Ruled out as an answer: the age of lists, which was right.

--- a/feed/feed.go
+++ b/feed/feed.go
@@ -127,10 +127,11 @@
 	}
 }
 
-// sameReplica compares replicas without their remaining warm-up time, which
-// differs at each read.
+// sameReplica compares replicas without their remaining warm-up time and their
+// sequence, which differ at each read.
 func sameReplica(a, b roster.Replica) bool {
 	a.Warmup, b.Warmup = 0, 0
+	a.Sequence, b.Sequence = 0, 0
 	return a == b
 }
 
--- a/feed/feed_test.go
+++ b/feed/feed_test.go
@@ -354,3 +354,23 @@
 	qt.Assert(t, follower.FetchOnce(context.Background()), qt.IsNil)
 	qt.Assert(t, received.replicas, qt.DeepEquals, newReplicas("new"))
 }
+
+// Guards against a host that keeps a short list of its own for as long as the lists of
+// the host that it follows don't change.
+func TestUnchangedListsReplaceAnOwnOne(t *testing.T) {
+	group := newGroup()
+	reader, name, _ := group.roles()
+	group.readStore(reader, newReplicas("a", "b")...)
+	follower, received := group.follower(name)
+	qt.Assert(t, follower.FetchOnce(context.Background()), qt.IsNil)
+	group.now = group.now.Add(100 * time.Millisecond)
+	group.feeds[name].PutReplicas(newReplicas("a"), group.now)
+	group.feeds[name].PutHosts(hosts, group.now)
+	received.replicas = newReplicas("a")
+	group.now = group.now.Add(100 * time.Millisecond)
+	group.readStore(reader, newReplicas("a", "b")...)
+	qt.Assert(t, follower.FetchOnce(context.Background()), qt.IsNil)
+	qt.Assert(t, received.replicas, qt.HasLen, 2)
+	qt.Assert(t, follower.FetchOnce(context.Background()), qt.IsNil)
+	qt.Assert(t, received.replicaUpdates, qt.Equals, 2)
+}
--- a/feed/follower.go
+++ b/feed/follower.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"slices"
 	"sync/atomic"
 	"time"
@@ -79,8 +80,10 @@
 	hosts    []shard.Host
 	source   string
 	sequence uint64
-	// fetchedReadAt is when the fetched lists were read.
+	// fetchedReadAt is when the fetched lists were read, publishedAt when they were
+	// last passed on.
 	fetchedReadAt atomic.Pointer[time.Time]
+	publishedAt   time.Time
 	cached        atomic.Pointer[ranking]
 	// lastSource is the host of the last successful fetch.
 	lastSource shard.Host
@@ -112,6 +115,13 @@
 	return slices.ContainsFunc(follower.ranking().candidates, func(host shard.Host) bool { return host.Name == follower.Name })
 }
 
+// FetchedSince reports whether lists were fetched that another host began to read
+// after a time.
+func (follower *Follower) FetchedSince(readAt time.Time) bool {
+	fetched := follower.fetchedReadAt.Load()
+	return fetched != nil && fetched.After(readAt)
+}
+
 // readAt returns when this host's lists were read from the store, by itself or by
 // the host that it fetched them from.
 func (follower *Follower) readAt() time.Time {
@@ -214,22 +224,31 @@
 	if follower.Version() >= reply.Version {
 		follower.ConfirmConfig(sentAt.Add(-configAge))
 	}
+	return more, follower.receiveLists(reply, sentAt, elapsed)
+}
+
+// receiveLists applies the lists in a reply, unless they are too old.
+func (follower *Follower) receiveLists(reply *message.FeedNews, sentAt time.Time, elapsed time.Duration) error {
 	listAge := time.Duration(reply.AgeMicros) * time.Microsecond
 	if reply.AgeMicros == neverRead || listAge+elapsed > maxListAge {
-		return false, fmt.Errorf("host %s has no recent lists, age %v", host.Name, listAge+elapsed)
+		return fmt.Errorf("host %s has no recent lists, age %v", reply.Source, listAge+elapsed)
 	}
 	readAt := sentAt.Add(-listAge)
 	if readAt.Before(follower.readAt()) {
 		// Older lists may hold a replica that left.
-		return more, nil
+		return nil
 	}
 	follower.fetchedReadAt.Store(&readAt)
-	if reply.Unchanged {
+	switch {
+	case !reply.Unchanged:
+		follower.apply(reply)
+	case follower.ListsReadAt().After(follower.publishedAt):
+		// This host has replaced the fetched lists by what it read itself.
+		follower.publish()
+	default:
 		follower.Confirm()
-		return more, nil
 	}
-	follower.apply(reply)
-	return more, nil
+	return nil
 }
 
 // receiveConfig adds the part of a configuration in a reply, and applies the
@@ -260,17 +279,19 @@
 	for _, id := range reply.Gone {
 		delete(follower.replicas, id)
 	}
-	replicas := make([]roster.Replica, 0, len(follower.replicas))
-	for _, replica := range follower.replicas {
-		replicas = append(replicas, replica)
-	}
-	follower.UpdateReplicas(replicas)
 	if reply.HostsChanged {
 		follower.hosts = make([]shard.Host, len(reply.Hosts))
 		for i, encoded := range reply.Hosts {
 			follower.hosts[i] = shard.Host{Name: encoded.Name, Address: encoded.Address, FailureDomain: encoded.FailureDomain, Cores: encoded.Cores}
 		}
 	}
-	follower.UpdateHosts(follower.hosts)
 	follower.source, follower.sequence = reply.Source, reply.Sequence
+	follower.publish()
+}
+
+// publish passes on the complete lists as they were fetched.
+func (follower *Follower) publish() {
+	follower.publishedAt = follower.Now()
+	follower.UpdateReplicas(slices.Collect(maps.Values(follower.replicas)))
+	follower.UpdateHosts(follower.hosts)
 }
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -43,6 +43,8 @@
 	// Incarnation is the start time of the process in Unix milliseconds. It
 	// changes when the replica restarts.
 	Incarnation int64
+	// Sequence counts the writes of the process to its entry, 0 if it is unknown.
+	Sequence uint64
 }
 
 // Roster holds the registered replicas. Set the fields before use.
@@ -54,6 +56,7 @@
 	Changed func(replica Replica, change string)
 
 	mu       sync.Mutex
+	history  history
 	replicas map[string]Replica
 	// list is the list as last read.
 	list []Replica
@@ -97,13 +100,28 @@
 // Update applies the complete list as it was read. Replicas missing from it are
 // removed, unless an outage of the list ended within registrationGrace.
 func (roster *Roster) Update(list []Replica) {
+	roster.Resolve(list)
+}
+
+// Resolve applies a list as Update does, and returns it with the newest entry of each
+// replica in place of older ones.
+func (roster *Roster) Resolve(list []Replica) []Replica {
 	roster.mu.Lock()
 	defer roster.mu.Unlock()
 	now := roster.Now()
 	if !roster.lastRead.IsZero() && now.Sub(roster.lastRead) > outageThreshold {
 		roster.outageEnd = now
 	}
-	roster.apply(list, now)
+	roster.history.ignored = roster.reportOlder
+	resolved := roster.history.resolve(list, now)
+	roster.apply(resolved, now)
+	return resolved
+}
+
+func (roster *Roster) reportOlder(older Replica) {
+	if roster.Changed != nil {
+		roster.Changed(older, "older entry ignored")
+	}
 }
 
 // Confirm records a read that found the list unchanged.
