link: keep a connection on which a long reply is arriving

A connection that owed a reply was closed 0.6 s later unless a whole frame had arrived, so that a reply that takes longer was never complete. Bytes count now, at the minimum rate of a transfer; a peer that trickles is still replaced.

TestLongReplyKeepsItsConnection (1 MB at 4 Mbit/s) failed before; TestTricklingPeerLosesItsConnection and TestSilentConnectionIsReplaced pass.

--- a/link/conn.go
+++ b/link/conn.go
@@ -72,6 +72,7 @@
 	// due while no frame arrived, 0 if none is. probing is set during a probe.
 	unansweredSince atomic.Int64
 	probing         atomic.Bool
+	receivedBytes   atomic.Int64
 }
 
 func newConn(netConn net.Conn) *Conn {
@@ -193,7 +194,7 @@
 // that handle gets releases the frame's memory; it has to be called once the
 // frame was handled.
 func (conn *Conn) read(memory *quota.Quota, handle func(received frame.Frame, release func())) error {
-	reader := bufio.NewReaderSize(conn.net, readBufferBytes)
+	reader := bufio.NewReaderSize(countingReader{conn}, readBufferBytes)
 	for !conn.closed() {
 		reservation := memory.NewReservation()
 		received, err := frame.ReadWithin(reader, reservation)
--- a/link/link_test.go
+++ b/link/link_test.go
@@ -1,9 +1,11 @@
 package link_test
 
 import (
+	"bytes"
 	"context"
 	"io"
 	"net"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -370,3 +372,30 @@
 		qt.Assert(t, time.Since(start) < 2*time.Second, qt.IsTrue)
 	})
 }
+
+// Guards against a long reply that never arrives over a slow link, because the
+// connection counts as silent until the whole of it has arrived.
+func TestLongReplyKeepsItsConnection(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		near, far := net.Pipe()
+		var group sync.WaitGroup
+		defer group.Wait()
+		group.Go(func() { io.Copy(io.Discard, far) })
+		body := bytes.Repeat([]byte("x"), 1_000_000)
+		group.Go(func() {
+			reply, _ := frame.Frame{Type: frame.SubReply, Correlation: 1, Body: body}.Append(nil)
+			// 4 Mbit/s.
+			for block := range slices.Chunk(reply, 10_000) {
+				time.Sleep(20 * time.Millisecond)
+				if _, err := far.Write(block); err != nil {
+					return
+				}
+			}
+		})
+		client := &link.Client{Address: "pipe", Dial: func(string, string, time.Duration) (net.Conn, error) { return near, nil }}
+		defer client.Close()
+		reply, err := client.Call(t.Context(), frame.SubRequest, []byte("request"))
+		qt.Assert(t, err, qt.IsNil)
+		qt.Assert(t, reply.Body, qt.HasLen, len(body))
+	})
+}
--- a/link/silence.go
+++ b/link/silence.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"fescuehall/frame"
+	"fescuehall/pace"
 )
 
 const (
@@ -14,6 +15,9 @@
 	// probeTimeout is how long the peer then has to send any frame. A peer answers
 	// probes at once, whatever its requests wait for.
 	probeTimeout = 400 * time.Millisecond
+	// minProgress is the number of bytes that have to arrive during a probe for the
+	// connection not to be silent, at the minimum rate of a transfer.
+	minProgress = int64(pace.MinRate * probeTimeout / time.Second)
 )
 
 // errSilent closes a connection on which a probe got no reply. A firewall may have
@@ -31,7 +35,8 @@
 }
 
 // checkSilence probes the connection if a reply has been due for silenceTimeout and
-// nothing has arrived since, and closes it if the probe gets no reply either.
+// nothing has arrived since, and closes it if the probe gets no reply either. A long
+// frame that arrives keeps it open.
 func (conn *Conn) checkSilence() {
 	since := conn.unansweredSince.Load()
 	if since == 0 || time.Since(time.Unix(0, since)) < silenceTimeout || !conn.probing.CompareAndSwap(false, true) {
@@ -39,19 +44,42 @@
 	}
 	go func() {
 		defer conn.probing.Store(false)
-		select {
-		case conn.sendQueue <- outgoing{frame: frame.Frame{Type: frame.Probe}}:
-		default:
-			// The frames before it get no reply either.
-		}
-		timeout := time.NewTimer(probeTimeout)
-		defer timeout.Stop()
-		select {
-		case <-timeout.C:
-			if conn.unansweredSince.Load() == since {
+		for conn.unansweredSince.Load() == since {
+			if !conn.probe() && conn.unansweredSince.Load() == since {
 				conn.close(errSilent)
+				return
 			}
-		case <-conn.done:
 		}
 	}()
 }
+
+// probe sends a probe and reports whether enough bytes arrive within probeTimeout to be
+// part of a long frame.
+func (conn *Conn) probe() bool {
+	select {
+	case conn.sendQueue <- outgoing{frame: frame.Frame{Type: frame.Probe}}:
+	default:
+		// The frames before it get no reply either.
+	}
+	before := conn.receivedBytes.Load()
+	timeout := time.NewTimer(probeTimeout)
+	defer timeout.Stop()
+	select {
+	case <-timeout.C:
+		return conn.receivedBytes.Load()-before >= minProgress
+	case <-conn.done:
+		return false
+	}
+}
+
+// countingReader counts the bytes that are read from a connection.
+type countingReader struct {
+	conn *Conn
+}
+
+// Read implements io.Reader.
+func (countingReader countingReader) Read(buf []byte) (int, error) {
+	count, err := countingReader.conn.net.Read(buf)
+	countingReader.conn.receivedBytes.Add(int64(count))
+	return count, err
+}
