feed: bound the part that a follower asks for by what is left

Found when reading the change: a follower that asks for as many bytes as an integer holds would have ended the reader, by an overflow. A transfer that begins after a broken one counts from its own beginning now, and the history of entries counts lists instead of comparing times. TestPartsBeyondTheEnd covers the first; the other two change nothing that callers see.

--- a/feed/configs.go
+++ b/feed/configs.go
@@ -73,7 +73,7 @@
 		}
 	}
 	sent.servedAt = feed.Now()
-	end := min(offset+fetch.MaxConfigBytes, int64(len(sent.content)))
-	reply.Config = sent.content[offset:end]
+	rest := sent.content[offset:]
+	reply.Config = rest[:min(fetch.MaxConfigBytes, int64(len(rest)))]
 	reply.PartVersion, reply.PartOffset, reply.ConfigBytes = sent.version, offset, int64(len(sent.content))
 }
--- a/feed/transfer.go
+++ b/feed/transfer.go
@@ -74,10 +74,10 @@
 	return content, nil
 }
 
-// begin begins the reception of a configuration. A host that never completes one
-// version before the next keeps its first beginning.
+// begin begins the reception of a configuration. When it takes the place of one that
+// was advancing, the beginning of that one counts.
 func (transfer *transfer) begin(reply *message.FeedNews, now time.Time) {
-	if transfer.version == 0 {
+	if transfer.version == 0 || now.Sub(transfer.grewAt) >= maxTransferPause {
 		transfer.beganAt = now
 	}
 	transfer.version, transfer.wholeSize = reply.PartVersion, reply.ConfigBytes
--- a/feed/transfer_test.go
+++ b/feed/transfer_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math"
 	"strconv"
 	"testing"
 	"time"
@@ -217,3 +218,23 @@
 		qt.Assert(t, receiver.fetches <= 6, qt.IsTrue, qt.Commentf("%s: %d fetches", name, receiver.fetches))
 	}
 }
+
+// A follower that asks for more bytes than there are gets the rest, one that asks for
+// bytes beyond the end the beginning.
+func TestPartsBeyondTheEnd(t *testing.T) {
+	group := newGroup()
+	reader, _, _ := group.roles()
+	group.putConfig(8, reader)
+	size := int64(len(largeConfig(8)))
+	for _, test := range []struct{ offset, max, from, bytes int64 }{
+		{0, 1 << 62, 0, size},
+		{size - 10, math.MaxInt64, size - 10, 10},
+		{size, 100, 0, 100},
+		{math.MaxInt64, 100, 0, 100},
+		{-5, 100, 0, 100},
+	} {
+		reply := group.feeds[reader].Answer(&message.FeedFetch{Version: 7, PartVersion: 8, PartOffset: test.offset, MaxConfigBytes: test.max})
+		qt.Check(t, reply.PartOffset, qt.Equals, test.from)
+		qt.Check(t, int64(len(reply.Config)), qt.Equals, test.bytes)
+	}
+}
--- a/roster/history.go
+++ b/roster/history.go
@@ -16,14 +16,17 @@
 // write that the store executes late replaces those that came after it.
 type history struct {
 	newest map[string]*newestEntry
+	// lists counts the lists that were resolved.
+	lists uint64
 	// ignored is called with each older entry when it first appears; it may be nil.
 	ignored func(older Replica)
 }
 
 type newestEntry struct {
 	replica Replica
-	// listed is set while the list holds the replica.
-	listed   bool
+	// lastList is the number of the last list that held the replica, and listedAt when
+	// that was resolved.
+	lastList uint64
 	listedAt time.Time
 	// olderSince is when the list began to hold an older entry, zero while it holds
 	// none.
@@ -36,6 +39,7 @@
 	if history.newest == nil {
 		history.newest = make(map[string]*newestEntry)
 	}
+	history.lists++
 	resolved := make([]Replica, 0, len(list))
 	for _, listed := range list {
 		newest := history.newest[listed.ID]
@@ -47,21 +51,16 @@
 			if listed.Incarnation == newest.replica.Incarnation && listed.Leaving {
 				newest.replica.Leaving = true
 			}
-			if newest.listed {
-				newest.listedAt = now
-				resolved = append(resolved, newest.replica)
+			if newest.lastList < history.lists-1 {
+				continue
 			}
-			continue
+		} else {
+			newest.advance(listed)
 		}
-		newest.advance(listed)
-		newest.listed, newest.listedAt = true, now
+		newest.lastList, newest.listedAt = history.lists, now
 		resolved = append(resolved, newest.replica)
 	}
 	for id, newest := range history.newest {
-		if newest.listedAt.Equal(now) {
-			continue
-		}
-		newest.listed = false
 		if now.Sub(newest.listedAt) > forgetAfter {
 			delete(history.newest, id)
 		}
