--- a/logbook/event.go
+++ b/logbook/event.go
@@ -49,6 +49,7 @@
 	windowStart time.Time
 	// windowLines counts the lines in the window, dropped ones included.
 	windowLines int
+	closed      bool
 }
 
 // NewQueue returns a queue that writes to out in the background.
@@ -58,15 +59,17 @@
 	return queue
 }
 
-// Write queues or drops one line. It implements io.Writer and never fails.
+// Write queues or drops one line. It implements io.Writer and never fails. Lines that
+// are written after Close are dropped.
 func (queue *Queue) Write(line []byte) (int, error) {
-	if !queue.allow() {
+	queue.mu.Lock()
+	defer queue.mu.Unlock()
+	if queue.closed || !queue.allow() {
 		queue.dropped.Add(1)
 		return len(line), nil
 	}
-	copied := append([]byte(nil), line...)
 	select {
-	case queue.lines <- copied:
+	case queue.lines <- append([]byte(nil), line...):
 	default:
 		queue.dropped.Add(1)
 	}
@@ -74,10 +77,8 @@
 }
 
 // allow counts a line and reports whether it is within the limit of lines per
-// second.
+// second. The caller holds the lock.
 func (queue *Queue) allow() bool {
-	queue.mu.Lock()
-	defer queue.mu.Unlock()
 	if now := queue.Now(); now.Sub(queue.windowStart) >= time.Second {
 		queue.windowStart, queue.windowLines = now, 0
 	}
@@ -91,10 +92,12 @@
 	return queue.dropped.Load()
 }
 
-// Close writes the queued lines and stops the queue. Write must not be called
-// afterwards.
+// Close writes the queued lines and stops the queue.
 func (queue *Queue) Close() {
+	queue.mu.Lock()
+	queue.closed = true
 	close(queue.lines)
+	queue.mu.Unlock()
 	<-queue.done
 }
 
--- a/logbook/event_test.go
+++ b/logbook/event_test.go
@@ -80,3 +80,17 @@
 	qt.Assert(t, kept <= maxKept, qt.IsTrue)
 	qt.Assert(t, kept+int(dropped) >= lines, qt.IsTrue, qt.Commentf("%d kept, %d dropped", kept, dropped))
 }
+
+// Guards against a request whose answer is lost because it is logged while the process
+// ends: a line that is written after Close is dropped.
+func TestWriteAfterClose(t *testing.T) {
+	var written bytes.Buffer
+	queue := logbook.NewQueue(&written)
+	_, err := queue.Write([]byte("first\n"))
+	qt.Assert(t, err, qt.IsNil)
+	queue.Close()
+	_, err = queue.Write([]byte("late\n"))
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, written.String(), qt.Equals, "first\n")
+	qt.Assert(t, queue.Dropped(), qt.Equals, int64(1))
+}
