shutdown: count the time for the last answers from when it begins

Exit was an absolute time. It is now as long after LastAnswer takes effect as the schedule says. Ruled out: the waits of the request, which were ended in time by then (the log has their "Stopping" lines).

TestDelayedStopHasTimeToAnswer covers it; with an absolute time there is no time left.

--- a/shutdown/shutdown.go
+++ b/shutdown/shutdown.go
@@ -24,7 +24,8 @@
 	LastSend time.Time
 	// LastAnswer is when requests that still await a reply are answered without it.
 	LastAnswer time.Time
-	// Exit is when the process ends at the latest.
+	// Exit is when the process ends at the latest. In a process that was delayed, the
+	// time from LastAnswer to Exit begins when LastAnswer takes effect.
 	Exit time.Time
 }
 
@@ -62,6 +63,7 @@
 type Stop struct {
 	sendingEnded   chan struct{}
 	answeringEnded chan struct{}
+	exit           chan struct{}
 
 	mu       sync.Mutex
 	begun    bool
@@ -70,7 +72,7 @@
 
 // New returns the Stop of a host that runs.
 func New() *Stop {
-	return &Stop{sendingEnded: make(chan struct{}), answeringEnded: make(chan struct{})}
+	return &Stop{sendingEnded: make(chan struct{}), answeringEnded: make(chan struct{}), exit: make(chan struct{})}
 }
 
 // Begin begins the stop. Only the first call has an effect.
@@ -82,7 +84,10 @@
 	}
 	stop.begun, stop.schedule = true, schedule
 	time.AfterFunc(time.Until(schedule.LastSend), func() { close(stop.sendingEnded) })
-	time.AfterFunc(time.Until(schedule.LastAnswer), func() { close(stop.answeringEnded) })
+	time.AfterFunc(time.Until(schedule.LastAnswer), func() {
+		close(stop.answeringEnded)
+		time.AfterFunc(schedule.Exit.Sub(schedule.LastAnswer), func() { close(stop.exit) })
+	})
 }
 
 // SendingEnded returns a channel that is closed at LastSend.
@@ -101,6 +106,11 @@
 	return stop.answeringEnded
 }
 
+// Exit returns a channel that is closed when the process has to end.
+func (stop *Stop) Exit() <-chan struct{} {
+	return stop.exit
+}
+
 // Admits reports whether a request may be sent to a server whose reply is expected
 // after the given time: before LastSend, and only if the reply is expected before
 // LastAnswer.
--- a/shutdown/shutdown_test.go
+++ b/shutdown/shutdown_test.go
@@ -81,3 +81,18 @@
 	var stop *shutdown.Stop
 	qt.Check(t, stateOf(stop), qt.Equals, state{true, true, true, true})
 }
+
+// Guards against a process that was delayed beyond its whole schedule and then ends
+// before it has given the answers that it had until then.
+func TestDelayedStopHasTimeToAnswer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		stop := shutdown.New()
+		schedule := shutdown.NewSchedule(time.Now().Add(-time.Minute), 6*time.Second)
+		stop.Begin(schedule)
+		time.Sleep(time.Millisecond)
+		qt.Check(t, isOpen(stop.AnsweringEnded()), qt.IsFalse)
+		qt.Check(t, isOpen(stop.Exit()), qt.IsTrue)
+		time.Sleep(schedule.Exit.Sub(schedule.LastAnswer))
+		qt.Check(t, isOpen(stop.Exit()), qt.IsFalse)
+	})
+}
