caller: report requests that are read and closed without an answer

A request is recognised by the end of its head in the bytes that were read, since net/http says only afterwards that it has read one. No decision changes.

--- a/caller/limiter.go
+++ b/caller/limiter.go
@@ -27,15 +27,32 @@
 	// Closed is called with the remote address of each connection that is closed
 	// to make room; it may be nil.
 	Closed func(remote string)
+	// Unanswered is called for each connection that this host closes although it has
+	// read a request from it that it has not answered; it may be nil.
+	Unanswered func(Unanswered)
 
 	mu   sync.Mutex
 	open int
+	// unanswered counts the calls of Unanswered.
+	unanswered int
 	// lastAccept is when a connection was last accepted.
 	lastAccept time.Time
 	// unused holds the connections without a request so far, idle those between
-	// two requests; the oldest come first.
+	// two requests, busy those with a request in progress; the oldest come first.
 	unused list.List
 	idle   list.List
+	busy   list.List
+}
+
+// Unanswered describes a request that was read and whose connection was closed by
+// this host without an answer.
+type Unanswered struct {
+	// Remote is the caller's address.
+	Remote string
+	// Handled is set when the request had reached its handler.
+	Handled bool
+	// Age is the time since the last byte of the request's head was read.
+	Age time.Duration
 }
 
 // Listener returns a listener whose connections are limited.
@@ -66,12 +83,20 @@
 type limitedConn struct {
 	net.Conn
 	limiter *Limiter
-	// list is the list that contains element; nil while a request is in progress.
+	// list is the list that contains element; nil once the connection is closed.
 	list    *list.List
 	element *list.Element
-	// head reserves the memory of the head that is being read.
-	head   *quota.Reservation
-	closed bool
+	// headMemory reserves the memory of the head that is being read.
+	headMemory *quota.Reservation
+	head       headScanner
+	// headReadAt is when the head of the current request was complete, the zero time
+	// before.
+	headReadAt time.Time
+	// handled is set when the current request has reached its handler, answered when
+	// the handler has returned.
+	handled  bool
+	answered bool
+	closed   bool
 }
 
 // LastAccept returns when a connection was last accepted, the zero time before
@@ -93,7 +118,7 @@
 		return nil
 	}
 	limiter.open++
-	conn := &limitedConn{Conn: accepted, limiter: limiter, head: limiter.Memory.NewReservation()}
+	conn := &limitedConn{Conn: accepted, limiter: limiter, headMemory: limiter.Memory.NewReservation()}
 	conn.moveTo(&limiter.unused)
 	return conn
 }
@@ -121,6 +146,37 @@
 	}
 }
 
+// UnansweredCount returns how many connections were closed without an answer.
+func (limiter *Limiter) UnansweredCount() int {
+	limiter.mu.Lock()
+	defer limiter.mu.Unlock()
+	return limiter.unanswered
+}
+
+// ReportOpen reports the requests in progress as unanswered. It is called before the
+// process ends, which closes their connections.
+func (limiter *Limiter) ReportOpen() {
+	limiter.mu.Lock()
+	defer limiter.mu.Unlock()
+	for _, conns := range []*list.List{&limiter.unused, &limiter.idle, &limiter.busy} {
+		for element := conns.Front(); element != nil; element = element.Next() {
+			element.Value.(*limitedConn).reportUnanswered()
+		}
+	}
+}
+
+// reportUnanswered reports the current request if it was read and not answered.
+func (conn *limitedConn) reportUnanswered() {
+	if conn.headReadAt.IsZero() || conn.answered {
+		return
+	}
+	limiter := conn.limiter
+	limiter.unanswered++
+	if limiter.Unanswered != nil {
+		limiter.Unanswered(Unanswered{Remote: conn.RemoteAddr().String(), Handled: conn.handled, Age: time.Since(conn.headReadAt)})
+	}
+}
+
 // moveTo moves the connection to the end of a list, or to none.
 func (conn *limitedConn) moveTo(next *list.List) {
 	if conn.list != nil {
@@ -137,8 +193,9 @@
 		return
 	}
 	conn.closed = true
+	conn.reportUnanswered()
 	conn.moveTo(nil)
-	conn.head.Release()
+	conn.headMemory.Release()
 	conn.limiter.open--
 }
 
@@ -150,6 +207,16 @@
 	return conn.Conn.Close()
 }
 
+// readsHead records bytes that were read outside of requests, and reports whether they
+// complete a request's head.
+func (conn *limitedConn) readsHead(bytes []byte) bool {
+	if !conn.headReadAt.IsZero() || !conn.head.scan(bytes) {
+		return false
+	}
+	conn.headReadAt = time.Now()
+	return true
+}
+
 // Read implements net.Conn. Outside of requests it reserves the memory of the
 // head that it reads, and closes other connections when there is none.
 func (conn *limitedConn) Read(buf []byte) (int, error) {
@@ -160,12 +227,16 @@
 	if conn.closed {
 		// A request that was read as the connection was closed must not be served:
 		// nobody would get its answer.
+		if conn.readsHead(buf[:count]) {
+			conn.reportUnanswered()
+		}
 		return 0, net.ErrClosed
 	}
-	if conn.list == nil {
+	if conn.list == &limiter.busy {
 		return count, err
 	}
-	for !conn.head.Reserve(count * headExpansion) {
+	conn.readsHead(buf[:count])
+	for !conn.headMemory.Reserve(count * headExpansion) {
 		if !limiter.closeOne(conn) {
 			return 0, quota.ErrExhausted
 		}
@@ -173,6 +244,18 @@
 	return count, err
 }
 
+// Write implements net.Conn. What is written before the handler runs is the HTTP
+// server's own answer to a request that it refuses.
+func (conn *limitedConn) Write(buf []byte) (int, error) {
+	count, err := conn.Conn.Write(buf)
+	conn.limiter.mu.Lock()
+	defer conn.limiter.mu.Unlock()
+	if count > 0 && !conn.handled {
+		conn.answered = true
+	}
+	return count, err
+}
+
 // begin marks the connection as having a request in progress. It returns false when
 // the connection was closed after the request's head was read.
 func (conn *limitedConn) begin() bool {
@@ -181,8 +264,9 @@
 	if conn.closed {
 		return false
 	}
-	conn.moveTo(nil)
-	conn.head.Release()
+	conn.moveTo(&conn.limiter.busy)
+	conn.headMemory.Release()
+	conn.handled = true
 	return true
 }
 
@@ -193,7 +277,9 @@
 	if conn.closed {
 		return
 	}
-	conn.head = conn.limiter.Memory.NewReservation()
+	conn.headMemory = conn.limiter.Memory.NewReservation()
+	conn.head, conn.headReadAt = headScanner{}, time.Time{}
+	conn.handled, conn.answered = false, false
 	conn.moveTo(&conn.limiter.idle)
 }
 
@@ -206,7 +292,10 @@
 			if !attached.limited.begin() {
 				panic(http.ErrAbortHandler)
 			}
-			defer attached.limited.end()
+			// A handler that panics leaves the request unanswered.
+			next.ServeHTTP(writer, request)
+			attached.limited.end()
+			return
 		}
 		next.ServeHTTP(writer, request)
 	})
