--- a/caller/limiter_test.go
+++ b/caller/limiter_test.go
@@ -6,7 +6,6 @@
 	"net"
 	"net/http"
 	"strings"
-	"sync"
 	"testing"
 
 	qt "github.com/frankban/quicktest"
@@ -21,15 +20,15 @@
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	qt.Assert(t, err, qt.IsNil)
 	started, release = make(chan string, 10), make(chan bool)
-	server := &http.Server{ConnContext: caller.Attach, Handler: caller.Handler(http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+	server := &caller.Server{Limiter: limiter, HTTP: &http.Server{Handler: http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
 		if request.URL.Path == "/wait" {
 			started <- request.URL.Path
 			<-release
 		}
 		io.WriteString(writer, "ok")
-	}))}
-	go server.Serve(limiter.Listener(listener))
-	t.Cleanup(func() { server.Close() })
+	})}}
+	go server.Serve(listener)
+	t.Cleanup(func() { server.HTTP.Close() })
 	return listener.Addr().String(), started, release
 }
 
@@ -125,68 +124,25 @@
 	qt.Assert(t, answer(t, honest), qt.Equals, "HTTP/1.1 200 OK")
 }
 
-// heldConn is a connection whose reads return only once they are let go.
-type heldConn struct {
-	net.Conn
-	reads  chan bool
-	letGo  chan bool
-	closes chan bool
-}
-
-// Close implements net.Conn.
-func (conn *heldConn) Close() error {
-	conn.closes <- true
-	return conn.Conn.Close()
-}
-
-func (conn *heldConn) Read(buf []byte) (int, error) {
-	count, err := conn.Conn.Read(buf)
-	select {
-	case conn.reads <- true:
-		<-conn.letGo
-	default:
-	}
-	return count, err
-}
-
-// heldListener holds the first read of the first connection.
-type heldListener struct {
-	net.Listener
-	once   sync.Once
-	reads  chan bool
-	letGo  chan bool
-	closes chan bool
-}
-
-func (listener *heldListener) Accept() (net.Conn, error) {
-	accepted, err := listener.Listener.Accept()
-	if err != nil {
-		return nil, err
-	}
-	listener.once.Do(func() { accepted = &heldConn{accepted, listener.reads, listener.letGo, listener.closes} })
-	return accepted, nil
-}
-
 // Guards against a request that is passed on although its connection was closed while
 // it was read, to make room for another: it would run, and nobody would get the answer.
 func TestRequestOnClosedConnectionIsNotServed(t *testing.T) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	qt.Assert(t, err, qt.IsNil)
-	held := &heldListener{Listener: listener, reads: make(chan bool, 1), letGo: make(chan bool), closes: make(chan bool, 10)}
+	held := newHeldListener(listener)
 	closed := make(chan string, 10)
 	limiter := &caller.Limiter{MaxConns: 1, Memory: &quota.Quota{Bytes: 1 << 20}, Closed: func(remote string) { closed <- remote }}
 	served := make(chan string, 10)
-	server := &http.Server{
-		ConnContext: caller.Attach,
-		Handler:     caller.Handler(http.HandlerFunc(func(_ http.ResponseWriter, request *http.Request) { served <- request.URL.Path })),
-	}
-	go server.Serve(limiter.Listener(held))
-	t.Cleanup(func() { server.Close() })
+	server := &caller.Server{Limiter: limiter, HTTP: &http.Server{
+		Handler: http.HandlerFunc(func(_ http.ResponseWriter, request *http.Request) { served <- request.URL.Path }),
+	}}
+	go server.Serve(held)
+	t.Cleanup(func() { server.HTTP.Close() })
 	send(t, dial(t, listener.Addr().String()), "/lost")
 	<-held.reads
 	dial(t, listener.Addr().String())
 	<-closed
-	close(held.letGo)
+	close(held.letRead)
 	// The server closes the connection itself when the request has ended.
 	<-held.closes
 	<-held.closes
--- a/caller/unanswered_test.go
+++ b/caller/unanswered_test.go
@@ -33,9 +33,9 @@
 			qt.Assert(t, err, qt.IsNil)
 			reports := make(chan bool, 10)
 			limiter := &caller.Limiter{MaxConns: 10, Memory: &quota.Quota{Bytes: 1 << 20}, Unanswered: func(request caller.Unanswered) { reports <- request.Handled }}
-			server := &http.Server{ConnContext: caller.Attach, Handler: caller.Handler(test.handler)}
-			go server.Serve(limiter.Listener(listener))
-			t.Cleanup(func() { server.Close() })
+			server := &caller.Server{Limiter: limiter, HTTP: &http.Server{Handler: test.handler}}
+			go server.Serve(listener)
+			t.Cleanup(func() { server.HTTP.Close() })
 			conn := dial(t, listener.Addr().String())
 			for _, chunk := range test.chunks {
 				_, err := io.WriteString(conn, chunk)
