caller: keep a connection until its answer is written

A caller could get a closed connection although its request had run: a connection counted as idle as soon as its handler had returned, while net/http writes short answers only after that. One that was closed then to make room for another lost its answer.

Now the HTTP server's own state, which follows the write, marks a connection as idle. A request whose answer is being written when a stop cuts the connections is reported as unanswered.

TestAnswerBeingWrittenKeepsItsConnection and TestStopReportsWhatItCuts failed before, and passed 20 runs with the race detector. TestLongestIdleConnectionMakesRoom waits until each connection is idle before the next step, since that now follows the answer; what it checks is the same.

--- a/caller/conn.go
+++ b/caller/conn.go
@@ -186,7 +186,14 @@
 	return true
 }
 
-// end marks the connection as idle.
+// setAnswered records that the handler has returned. Its answer may not be written yet.
+func (conn *limitedConn) setAnswered() {
+	conn.limiter.mu.Lock()
+	defer conn.limiter.mu.Unlock()
+	conn.answered = true
+}
+
+// end marks the connection as idle after its answer was written.
 func (conn *limitedConn) end() {
 	conn.limiter.mu.Lock()
 	defer conn.limiter.mu.Unlock()
--- a/caller/limiter_test.go
+++ b/caller/limiter_test.go
@@ -15,21 +15,26 @@
 )
 
 // startServer returns the address of a server behind a limiter. A request for
-// /wait is answered when release is closed; started receives its path.
-func startServer(t *testing.T, limiter *caller.Limiter) (address string, started chan string, release chan bool) {
+// /wait is answered when release is closed; started receives its path. idle receives a
+// value for each connection that has become idle.
+func startServer(t *testing.T, limiter *caller.Limiter) (address string, started chan string, release, idle chan bool) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	qt.Assert(t, err, qt.IsNil)
-	started, release = make(chan string, 10), make(chan bool)
+	started, release, idle = make(chan string, 10), make(chan bool), make(chan bool, 100)
 	server := &caller.Server{Limiter: limiter, HTTP: &http.Server{Handler: http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
 		if request.URL.Path == "/wait" {
 			started <- request.URL.Path
 			<-release
 		}
 		io.WriteString(writer, "ok")
-	})}}
+	}), ConnState: func(_ net.Conn, state http.ConnState) {
+		if state == http.StateIdle {
+			idle <- true
+		}
+	}}}
 	go server.Serve(listener)
 	t.Cleanup(func() { server.HTTP.Close() })
-	return listener.Addr().String(), started, release
+	return listener.Addr().String(), started, release, idle
 }
 
 func dial(t *testing.T, address string) net.Conn {
@@ -59,7 +64,7 @@
 func TestHalfOpenConnectionsMakeRoom(t *testing.T) {
 	closed := make(chan string, 100)
 	limiter := &caller.Limiter{MaxConns: 4, Memory: &quota.Quota{Bytes: 1 << 20}, Closed: func(remote string) { closed <- remote }}
-	address, started, release := startServer(t, limiter)
+	address, started, release, _ := startServer(t, limiter)
 	busy, idle := dial(t, address), dial(t, address)
 	send(t, busy, "/wait")
 	<-started
@@ -81,11 +86,12 @@
 func TestLongestIdleConnectionMakesRoom(t *testing.T) {
 	closed := make(chan string, 100)
 	limiter := &caller.Limiter{MaxConns: 2, Memory: &quota.Quota{Bytes: 1 << 20}, Closed: func(remote string) { closed <- remote }}
-	address, _, _ := startServer(t, limiter)
+	address, _, _, idle := startServer(t, limiter)
 	first, second := dial(t, address), dial(t, address)
 	for _, conn := range []net.Conn{first, second, first} {
 		send(t, conn, "/")
 		qt.Assert(t, answer(t, conn), qt.Equals, "HTTP/1.1 200 OK")
+		<-idle
 	}
 	third := dial(t, address)
 	send(t, third, "/")
@@ -96,7 +102,7 @@
 // When every connection has a request in progress, a new one is closed at once.
 func TestNewConnectionIsClosedWhenAllAreBusy(t *testing.T) {
 	limiter := &caller.Limiter{MaxConns: 1, Memory: &quota.Quota{Bytes: 1 << 20}}
-	address, started, release := startServer(t, limiter)
+	address, started, release, _ := startServer(t, limiter)
 	busy := dial(t, address)
 	send(t, busy, "/wait")
 	<-started
@@ -111,7 +117,7 @@
 func TestEndlessHeads(t *testing.T) {
 	memory := &quota.Quota{Bytes: 256 << 10}
 	limiter := &caller.Limiter{MaxConns: 100, Memory: memory}
-	address, _, _ := startServer(t, limiter)
+	address, _, _, _ := startServer(t, limiter)
 	for range 50 {
 		conn := dial(t, address)
 		io.WriteString(conn, "GET / HTTP/1.1\r\n")
--- a/caller/server.go
+++ b/caller/server.go
@@ -12,8 +12,8 @@
 // Shutdown, unlike that of http.Server, closes no connection from which a request was
 // read. Set the fields before Serve.
 type Server struct {
-	// HTTP has the handler and the timeouts. Serve wraps its Handler, and sets
-	// ConnContext.
+	// HTTP has the handler and the timeouts. Serve wraps its Handler and ConnState, and
+	// sets ConnContext.
 	HTTP    *http.Server
 	Limiter *Limiter
 
@@ -33,6 +33,15 @@
 	server.mu.Unlock()
 	server.HTTP.Handler = handler(server.HTTP.Handler)
 	server.HTTP.ConnContext = Attach
+	stateChanged := server.HTTP.ConnState
+	server.HTTP.ConnState = func(conn net.Conn, state http.ConnState) {
+		if limited, ok := conn.(*limitedConn); ok && state == http.StateIdle {
+			limited.end()
+		}
+		if stateChanged != nil {
+			stateChanged(conn, state)
+		}
+	}
 	return server.HTTP.Serve(&limitedListener{Listener: listener, limiter: server.Limiter})
 }
 
@@ -69,6 +78,6 @@
 		}
 		next.ServeHTTP(writer, request)
 		// A handler that panics leaves the request unanswered.
-		attached.limited.end()
+		attached.limited.setAnswered()
 	})
 }
--- a/caller/server_test.go
+++ b/caller/server_test.go
@@ -1,6 +1,7 @@
 package caller_test
 
 import (
+	"context"
 	"io"
 	"net"
 	"net/http"
@@ -136,3 +137,38 @@
 	qt.Assert(t, answer(t, conn), qt.Equals, "HTTP/1.1 200 OK")
 	qt.Assert(t, <-stopped, qt.IsNil)
 }
+
+// A stop that can't wait any longer reports the requests that it cuts.
+func TestStopReportsWhatItCuts(t *testing.T) {
+	held := newHeldListener(listen(t))
+	server := serveHeld(t, held, 10)
+	held.writes, held.letWrite = make(chan bool, 1), make(chan bool)
+	defer close(held.letWrite)
+	conn := dial(t, held.Addr().String())
+	send(t, conn, "/last")
+	<-held.reads
+	held.letRead <- true
+	<-held.writes
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	qt.Assert(t, server.Shutdown(ctx), qt.ErrorIs, context.Canceled)
+	qt.Assert(t, server.Limiter.UnansweredCount(), qt.Equals, 1)
+}
+
+// Guards against a connection that is closed to make room before its answer is
+// written, as its handler has returned: the request ran, and its caller got no answer.
+func TestAnswerBeingWrittenKeepsItsConnection(t *testing.T) {
+	held := newHeldListener(listen(t))
+	held.writes, held.letWrite = make(chan bool, 1), make(chan bool)
+	server := serveHeld(t, held, 1)
+	conn := dial(t, held.Addr().String())
+	send(t, conn, "/")
+	<-held.reads
+	held.letRead <- true
+	<-held.writes
+	// There is no room for another connection until the answer is written.
+	refused := dial(t, held.Addr().String())
+	qt.Assert(t, <-server.closed, qt.Equals, refused.LocalAddr().String())
+	held.letWrite <- true
+	qt.Assert(t, answer(t, conn), qt.Equals, "HTTP/1.1 200 OK")
+}
