entry: answer the requests that are left at the end of a stop

On the product's own path callers of a host that stops got a closed connection when their request was still waiting for a slot, or for a server, after Stop.MaxMillis.

Cause: nothing in the path of a query knew of the stop.

Now shutdown.Stop, as on the platform, says when the last searches are sent and the last answers given. Queries that come after LastSend and sub-requests that wait for a slot then are refused as NotRun; at LastAnswer queries are answered with the shards that have replied, or as MayHaveRun, with 502 and not 503. caller.Server closes the connections, and the connections of peers are closed after their replies are written, not after a fixed delay. Answers during a stop close their connections.

--- a/entry/api.go
+++ b/entry/api.go
@@ -31,7 +31,22 @@
 	mux.HandleFunc("GET /ready", host.getReady)
 	mux.HandleFunc("GET /live", func(writer http.ResponseWriter, _ *http.Request) { io.WriteString(writer, "live\n") })
 	mux.Handle("GET /debug/vars", expvar.Handler())
-	return mux
+	return host.closeConnections(mux)
+}
+
+// closeConnections returns a handler whose answers close their connections while the
+// host stops.
+func (host *Host) closeConnections(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+		host.setConnectionClose(writer)
+		next.ServeHTTP(writer, request)
+	})
+}
+
+func (host *Host) setConnectionClose(writer http.ResponseWriter) {
+	if host.stopping.Load() {
+		writer.Header().Set("Connection", "close")
+	}
 }
 
 func (host *Host) postQuery(writer http.ResponseWriter, request *http.Request) {
@@ -40,7 +55,10 @@
 		writeAnswer(writer, &answer.Answer{Host: host.Settings.Name, Verdict: failure.Verdict.String(), Code: string(failure.Code), Detail: failure.Detail, Missing: []answer.Missing{}, Results: []answer.Result{}})
 		return
 	}
-	writeAnswer(writer, host.coordinator.Answer(request.Context(), query))
+	answer := host.coordinator.Answer(request.Context(), query)
+	// The stop may have begun while the query was answered.
+	host.setConnectionClose(writer)
+	writeAnswer(writer, answer)
 }
 
 // readQuery reads and validates the body of a query. It sets a random request
@@ -75,12 +93,16 @@
 }
 
 func writeAnswer(writer http.ResponseWriter, answer *answer.Answer) {
-	writeJSON(writer, httpStatus(verdict.Code(answer.Code)), answer)
+	writeJSON(writer, httpStatus(answer), answer)
 }
 
-// httpStatus returns the HTTP status of a failure code. It is meant for load
+// httpStatus returns the HTTP status of an answer. It is meant for load
 // balancers and people; callers act on the verdict in the body.
-func httpStatus(code verdict.Code) int {
+func httpStatus(answer *answer.Answer) int {
+	code := verdict.Code(answer.Code)
+	if code == verdict.Stopping && answer.Verdict != verdict.NotRun.String() {
+		return http.StatusBadGateway
+	}
 	switch code {
 	case "":
 		return http.StatusOK
--- a/entry/host.go
+++ b/entry/host.go
@@ -16,6 +16,7 @@
 	"sync/atomic"
 	"time"
 
+	"fescuehall/caller"
 	"fescuehall/claim"
 	"fescuehall/front"
 	"fescuehall/link"
@@ -29,6 +30,7 @@
 	"fescuehall/replica"
 	"fescuehall/service"
 	"fescuehall/setting"
+	"fescuehall/shutdown"
 	"fescuehall/store"
 )
 
@@ -68,6 +70,8 @@
 	// version.
 	synced   atomic.Bool
 	stopping atomic.Bool
+	// shutdown tells the other parts how far a graceful stop has got.
+	shutdown *shutdown.Stop
 	// peerRequests counts the sub-requests from peers that are being served.
 	peerRequests atomic.Int64
 	log          func(format string, args ...any)
@@ -109,7 +113,12 @@
 	peerServer := &link.Server{Handle: host.handlePeerFrame, ConnFailed: func(peer string, err error) {
 		host.log("Closed the connection from peer %s: %v.", peer, err)
 	}}
-	callerServer := &http.Server{Handler: host.routes(), ReadHeaderTimeout: headerTimeout, ReadTimeout: readTimeout, IdleTimeout: idleTimeout}
+	callerServer := &caller.Server{
+		Limiter: &caller.Limiter{Unanswered: func(request caller.Unanswered) {
+			host.log("Closed the connection of %s without an answer to its request, %v after it was read.", request.Remote, request.Age.Round(time.Millisecond))
+		}},
+		HTTP: &http.Server{Handler: host.routes(), ReadHeaderTimeout: headerTimeout, ReadTimeout: readTimeout, IdleTimeout: idleTimeout},
+	}
 	serveErrors := make(chan error, 2)
 	go func() { serveErrors <- peerServer.Run(sockets.Peers) }()
 	go func() { serveErrors <- callerServer.Serve(sockets.Callers) }()
@@ -126,7 +135,7 @@
 		}
 	case <-ctx.Done():
 	}
-	host.stop(callerServer)
+	host.stop(callerServer, peerServer)
 	sockets.close()
 	return nil
 }
@@ -179,6 +188,7 @@
 	}
 	host.platform = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: maxIdlePlatformConns, DialContext: host.dialPlatform}}
 	host.store = &store.Client{BaseURL: host.Settings.StoreURL, HTTP: host.platform}
+	host.shutdown = shutdown.New()
 	host.marks = &replica.Marks{Now: time.Now, Changed: host.markChanged}
 	host.current = &relay.Current{Advanced: host.configurationChanged}
 	host.loader = &relay.Loader{Get: host.store.Get, Current: host.current}
@@ -216,6 +226,7 @@
 		View:  host.current.View,
 		Marks: host.marks,
 		Now:   time.Now,
+		Stop:  host.shutdown,
 		Log:   host.Logbook.PartLogger("front"),
 		Dial:  host.Dial,
 	}
@@ -230,6 +241,7 @@
 		MissingSnapshots: &replica.MissingSnapshots{Now: time.Now},
 		Now:              time.Now,
 		After:            time.After,
+		Stop:             host.shutdown,
 		Hedge:            !host.Policy.NoHedge,
 		NoLimits:         host.Policy.NoLimits,
 		OneRank:          host.Policy.OneRank,
--- a/entry/stop.go
+++ b/entry/stop.go
@@ -2,8 +2,11 @@
 
 import (
 	"context"
-	"net/http"
 	"time"
+
+	"fescuehall/caller"
+	"fescuehall/link"
+	"fescuehall/shutdown"
 )
 
 const (
@@ -11,16 +14,14 @@
 	// its listener for callers is closed.
 	handoverDelay    = 300 * time.Millisecond
 	idlePollInterval = 10 * time.Millisecond
-	// flushDelay gives the last replies to peers time to be sent before their
-	// connections are closed.
-	flushDelay = 100 * time.Millisecond
 )
 
 // stop shuts a host down gracefully. The host reports that it is not ready,
 // keeps serving until the load balancer has noticed, announces to peers that it
 // is leaving, so that others front its replicas, and completes the requests in
-// flight, for up to Settings.Stop.MaxMillis.
-func (host *Host) stop(callerServer *http.Server) {
+// flight, for up to Settings.Stop.MaxMillis. Those that are left then are answered as
+// shutdown.Schedule says.
+func (host *Host) stop(callerServer *caller.Server, peerServer *link.Server) {
 	started := time.Now()
 	maxDuration := time.Duration(host.Settings.Stop.MaxMillis) * time.Millisecond
 	balancerLag := time.Duration(host.Settings.Stop.BalancerLagMillis) * time.Millisecond
@@ -29,13 +30,20 @@
 	sleep(context.Background(), balancerLag)
 	host.gossip.Send(host.detector.Leave())
 	sleep(context.Background(), handoverDelay)
-	ctx, cancel := context.WithTimeout(context.Background(), maxDuration)
+	host.shutdown.Begin(shutdown.NewSchedule(time.Now(), maxDuration))
+	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
+	go func() {
+		<-host.shutdown.Exit()
+		cancel()
+	}()
 	if err := callerServer.Shutdown(ctx); err != nil {
-		host.log("Stopping with unfinished requests after %v.", maxDuration)
+		host.log("Stopping with unfinished requests after %v: %v.", time.Since(started).Round(time.Millisecond), err)
 	}
 	host.awaitIdle(ctx)
-	sleep(context.Background(), flushDelay)
+	if err := peerServer.Shutdown(ctx); err != nil {
+		host.log("Stopping with unfinished requests after %v: %v.", time.Since(started).Round(time.Millisecond), err)
+	}
 	host.log("Stopped after %v.", time.Since(started).Round(time.Millisecond))
 }
 
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -3,6 +3,7 @@
 package fleet
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -26,6 +27,9 @@
 // stand-ins.
 const readyTimeout = 20 * time.Second
 
+// defaultMaxStop is how long a graceful stop waits for requests in flight.
+const defaultMaxStop = 5 * time.Second
+
 // Layout describes the hosts, services and policy of a fleet.
 type Layout struct {
 	// Domains are the failure domains. Hosts and the replicas of a shard are
@@ -42,6 +46,8 @@
 	// BalancerLag is how long a host continues to accept requests after it has
 	// begun a graceful stop.
 	BalancerLag time.Duration
+	// MaxStop is how long a graceful stop waits for requests in flight; 5 s when 0.
+	MaxStop time.Duration
 	// Log receives the hosts' logs; nil discards them.
 	Log io.Writer
 }
@@ -221,7 +227,7 @@
 		HostListURL:   fleet.hostListURL + "/v1/hosts",
 		Peers:         fleet.peerAddresses,
 		MaxBodyBytes:  65536,
-		Stop:          &setting.Stop{BalancerLagMillis: int(fleet.layout.BalancerLag.Milliseconds()), MaxMillis: 5000},
+		Stop:          &setting.Stop{BalancerLagMillis: int(fleet.layout.BalancerLag.Milliseconds()), MaxMillis: int(cmp.Or(fleet.layout.MaxStop, defaultMaxStop).Milliseconds())},
 	}
 	out, level := fleet.layout.Log, "info"
 	if out == nil {
--- a/front/front.go
+++ b/front/front.go
@@ -19,6 +19,7 @@
 	"fescuehall/rank"
 	"fescuehall/replica"
 	"fescuehall/service"
+	"fescuehall/shutdown"
 	"fescuehall/verdict"
 )
 
@@ -42,6 +43,8 @@
 	Search func(ctx context.Context, client *backend.Client, search *backend.Search) (*backend.Found, error)
 	// Dial opens connections to backend servers; net.DialTimeout when nil.
 	Dial func(network, address string, timeout time.Duration) (net.Conn, error)
+	// Stop is the stop of this host; nil if it never stops.
+	Stop *shutdown.Stop
 	// Log logs refused and failed sub-requests.
 	Log func(format string, args ...any)
 
@@ -119,7 +122,7 @@
 		return FailureReply(request, verdict.New(verdict.NotRun, verdict.NoReplica, "backend server %s is not in the configuration", request.Replica))
 	}
 	queuedAt := front.Now()
-	if err := waitForSlot(ctx, state.queue, request, deadline); err != nil {
+	if err := front.waitForSlot(ctx, state.queue, request, deadline); err != nil {
 		reply := FailureReply(request, verdict.FailureOf(err))
 		reply.Waiting = state.queue.Waiting()
 		reply.QueueMicros = front.Now().Sub(queuedAt).Microseconds()
@@ -132,14 +135,18 @@
 }
 
 // waitForSlot queues a sub-request until it gets a slot. A hedge gets one at
-// once or not at all.
-func waitForSlot(ctx context.Context, queue *rank.Queue, request *message.SubRequest, deadline time.Time) error {
+// once or not at all. When this host stops, those that wait are refused.
+func (front *Front) waitForSlot(ctx context.Context, queue *rank.Queue, request *message.SubRequest, deadline time.Time) error {
+	if !front.Stop.Admits(0) {
+		return stoppingFailure(request)
+	}
 	item := &rank.Item{Rank: request.Rank, Started: request.StartedMicros, Deadline: deadline, NoWait: request.Hedge}
 	queue.Add(item)
 	select {
 	case err := <-item.Outcome():
 		return err
 	case <-ctx.Done():
+	case <-front.Stop.SendingEnded():
 	}
 	if !queue.Withdraw(item) {
 		if err := <-item.Outcome(); err != nil {
@@ -147,9 +154,16 @@
 		}
 		queue.Done(0)
 	}
+	if ctx.Err() == nil {
+		return stoppingFailure(request)
+	}
 	return verdict.New(verdict.NotRun, verdict.Cancelled, "cancelled while queued for %s", request.Replica)
 }
 
+func stoppingFailure(request *message.SubRequest) error {
+	return verdict.New(verdict.NotRun, verdict.Stopping, "the host that fronts %s stops", request.Replica)
+}
+
 // runInSlot runs a sub-request that has a slot, and releases the slot.
 func (front *Front) runInSlot(ctx context.Context, state *replicaState, request *message.SubRequest, deadline time.Time) *message.SubReply {
 	started := front.Now()
--- a/query/query.go
+++ b/query/query.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"time"
 
@@ -12,6 +13,7 @@
 	"fescuehall/rank"
 	"fescuehall/replica"
 	"fescuehall/service"
+	"fescuehall/shutdown"
 	"fescuehall/verdict"
 )
 
@@ -48,6 +50,8 @@
 	// Pick returns the index of the replica to use, or a negative number when
 	// there is none. It is Picker.Pick, except when a baseline is measured.
 	Pick func(addresses []string) int
+	// Stop is the stop of this host; nil if it never stops.
+	Stop *shutdown.Stop
 	// Hedge enables hedging.
 	Hedge bool
 	// NoLimits, OneRank and NoBudget are baselines for measurements, see
@@ -99,6 +103,10 @@
 // request has a code and a verdict.
 func (coordinator *Coordinator) Answer(ctx context.Context, request *answer.Request) *answer.Answer {
 	started := coordinator.Now()
+	if !coordinator.Stop.Admits(0) {
+		coordinator.Log("Request %s is refused: this host stops.", request.RequestID)
+		return coordinator.failureAnswer(request, nil, verdict.New(verdict.NotRun, verdict.Stopping, "host %s stops", coordinator.Host))
+	}
 	job, err := coordinator.newJob(request, started)
 	if err != nil {
 		return coordinator.failureAnswer(request, job, verdict.FailureOf(err))
@@ -168,12 +176,31 @@
 	}
 	ctx, cancel := context.WithDeadline(ctx, job.deadline.Add(-replyMargin))
 	defer cancel()
+	ctx = coordinator.untilStop(ctx)
 	if job.kind.Idempotent {
 		return coordinator.queryAllShards(ctx, job)
 	}
 	return coordinator.runOnce(ctx, job)
 }
 
+// errStopping is the cause of a context that ends because the host stops.
+var errStopping = errors.New("the host stops")
+
+// untilStop returns a context that ends with ctx, or earlier when the host stops and
+// answers its requests as they stand.
+func (coordinator *Coordinator) untilStop(ctx context.Context) context.Context {
+	ctx, cancel := context.WithCancelCause(ctx)
+	go func() {
+		select {
+		case <-coordinator.Stop.AnsweringEnded():
+			cancel(errStopping)
+		case <-ctx.Done():
+			cancel(nil)
+		}
+	}()
+	return ctx
+}
+
 // queryAllShards queries every shard of a snapshot. It falls back to another
 // snapshot when some shard does not have the first one yet.
 func (coordinator *Coordinator) queryAllShards(ctx context.Context, job *job) *answer.Answer {
--- a/query/shard.go
+++ b/query/shard.go
@@ -82,6 +82,9 @@
 			run.startHedge(ctx)
 		case <-ctx.Done():
 			round.recordOverload(rank.Outcome{RefusedOrLate: run.deadlineReached()})
+			if context.Cause(ctx) == errStopping {
+				return shardOutcome{shard: shard, failure: verdict.New(verdict.MayHaveRun, verdict.Stopping, "no reply before host %s stops", run.coordinator.Host)}
+			}
 			return shardOutcome{shard: shard, failure: verdict.New(verdict.MayHaveRun, verdict.DeadlinePassed, "no reply before the deadline")}
 		}
 	}
