shutdown: go on while answers advance

Callers that read long answers over slow links, begun before a stop or answered by the replica shortly before LastAnswer, got a part of the body and then the end of the connection.

Cause: the process ended 0.25 s before SIGKILL, whatever was left. The time did not know how much that was, nor whether it advanced.

Ruled out: bytes that the kernel has taken; it goes on sending them after the exit.

From Exit on, the stop ends when no answer has advanced for 0.5 s, or 0.1 s before SIGKILL.

--- a/shutdown/shutdown.go
+++ b/shutdown/shutdown.go
@@ -7,7 +7,9 @@
 //
 // A gathered request is answered as it stands with the shards that have replied, if
 // they are enough. Any other one gets a failure that says that it may have run. So
-// each request has an answer before the process ends.
+// each request has an answer before the process ends. How long the answers take to
+// write depends on their sizes, the links and the processor, so the process goes on
+// while they advance, until shortly before it is killed.
 package shutdown
 
 import (
@@ -24,9 +26,14 @@
 	LastSend time.Time
 	// LastAnswer is when requests that still await a reply are answered without it.
 	LastAnswer time.Time
-	// Exit is when the process ends at the latest. In a process that was delayed, the
-	// time from LastAnswer to Exit begins when LastAnswer takes effect.
+	// Exit is when the process ends if the answers that are left don't advance.
 	Exit time.Time
+	// LastExit is when the process ends although answers advance. In a process that
+	// was delayed, the times from LastAnswer to Exit and LastExit begin when
+	// LastAnswer takes effect.
+	LastExit time.Time
+	// stallTime is how long after an advance answers count as advancing.
+	stallTime time.Duration
 }
 
 const (
@@ -35,14 +42,21 @@
 	// acceptTime is reserved for sending the requests of the last connections.
 	acceptTime = 500 * time.Millisecond
 	// answerTime is reserved for writing the last answers and the exit of the
-	// process, exitTime for its exit alone.
-	answerTime = 700 * time.Millisecond
-	exitTime   = 250 * time.Millisecond
+	// process, exitTime for its exit alone. While answers advance, only lastExitTime
+	// is reserved for the exit.
+	answerTime   = 700 * time.Millisecond
+	exitTime     = 250 * time.Millisecond
+	lastExitTime = 100 * time.Millisecond
+	// stallTime allows for slow callers: the kernel accepts more of an answer only
+	// when a third of its buffer is free.
+	stallTime = 500 * time.Millisecond
 	// A short grace period is divided in the same proportions.
-	acceptDivisor = 12
-	replyDivisor  = 6
-	answerDivisor = 8
-	exitDivisor   = 24
+	acceptDivisor   = 12
+	replyDivisor    = 6
+	answerDivisor   = 8
+	exitDivisor     = 24
+	lastExitDivisor = 60
+	stallDivisor    = 12
 )
 
 // NewSchedule returns the schedule of a stop that begins now and has to end within
@@ -55,6 +69,8 @@
 		LastSend:   lastSend,
 		LastAnswer: lastAnswer,
 		Exit:       now.Add(grace - min(exitTime, grace/exitDivisor)),
+		LastExit:   now.Add(grace - min(lastExitTime, grace/lastExitDivisor)),
+		stallTime:  min(stallTime, grace/stallDivisor),
 	}
 }
 
@@ -68,6 +84,8 @@
 	mu       sync.Mutex
 	begun    bool
 	schedule Schedule
+	// advancedAt is when an answer last advanced.
+	advancedAt time.Time
 }
 
 // New returns the Stop of a host that runs.
@@ -86,10 +104,37 @@
 	time.AfterFunc(time.Until(schedule.LastSend), func() { close(stop.sendingEnded) })
 	time.AfterFunc(time.Until(schedule.LastAnswer), func() {
 		close(stop.answeringEnded)
-		time.AfterFunc(schedule.Exit.Sub(schedule.LastAnswer), func() { close(stop.exit) })
+		lastExit := time.Now().Add(schedule.LastExit.Sub(schedule.LastAnswer))
+		time.AfterFunc(schedule.Exit.Sub(schedule.LastAnswer), func() { stop.endUnlessAdvancing(lastExit) })
 	})
 }
 
+// endUnlessAdvancing closes exit when no answer has advanced for stallTime, or at
+// lastExit.
+func (stop *Stop) endUnlessAdvancing(lastExit time.Time) {
+	stop.mu.Lock()
+	defer stop.mu.Unlock()
+	next := stop.advancedAt.Add(stop.schedule.stallTime)
+	if next.After(lastExit) {
+		next = lastExit
+	}
+	if wait := time.Until(next); wait > 0 {
+		time.AfterFunc(wait, func() { stop.endUnlessAdvancing(lastExit) })
+		return
+	}
+	close(stop.exit)
+}
+
+// Advance records that a part of an answer was written.
+func (stop *Stop) Advance() {
+	if stop == nil {
+		return
+	}
+	stop.mu.Lock()
+	defer stop.mu.Unlock()
+	stop.advancedAt = time.Now()
+}
+
 // SendingEnded returns a channel that is closed at LastSend.
 func (stop *Stop) SendingEnded() <-chan struct{} {
 	if stop == nil {
@@ -106,7 +151,8 @@
 	return stop.answeringEnded
 }
 
-// Exit returns a channel that is closed when the process has to end.
+// Exit returns a channel that is closed when the process has to end: at Exit, or
+// while answers advance, later, but not after LastExit.
 func (stop *Stop) Exit() <-chan struct{} {
 	return stop.exit
 }
