shutdown: begin the last answers sooner when there are many

With hundreds of requests at replicas that did not reply, a stopping host answered them all at LastAnswer, 0.45 s before the process ended. On a slow processor some callers got no answer, although a replica had their request.

Cause: the time for the last answers did not know their number.

Ruled out: requests that were not at a replica. They are refused a second earlier, and none of them was cut.

Change: the stop counts the requests that await replies. They are answered 1 ms sooner for each, but not before the last sixth of the grace period. If replies arrive, it waits on.

Tests: shutdown.TestManyAnswersBeginSooner (without a cost for an answer, three of five cases fail) and dispatch.TestStopAnswersManyRequestsSooner (fails if dispatch does not count its requests).

--- a/dispatch/run.go
+++ b/dispatch/run.go
@@ -124,6 +124,7 @@
 // wait serves the request until it can be answered. It reports whether the
 // caller left before.
 func (run *run) wait(ctx context.Context) (callerLeft bool) {
+	defer run.dispatcher.Stop.Await()()
 	timer := time.NewTimer(0)
 	defer timer.Stop()
 	for !run.settled(time.Now()) {
--- a/dispatch/stop_test.go
+++ b/dispatch/stop_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -79,6 +80,33 @@
 	}
 }
 
+// Guards against a stop that begins hundreds of answers when a slow processor no longer
+// has time for them.
+func TestStopAnswersManyRequestsSooner(t *testing.T) {
+	const requests = 400
+	neverReplies := func(string, int) (time.Duration, *verdict.Failure) { return time.Minute, nil }
+	synctest.Test(t, func(t *testing.T) {
+		dispatcher := newDispatcher(&fakeReplicas{respond: neverReplies})
+		dispatcher.Stop = shutdown.New()
+		schedule := shutdown.NewSchedule(time.Now(), 6*time.Second)
+		var group sync.WaitGroup
+		for range requests {
+			group.Go(func() {
+				request := newRequest(slowRoute(singleRoute(false)))
+				request.Deadline = time.Now().Add(15 * time.Second)
+				answer := dispatcher.Serve(context.Background(), request)
+				qt.Check(t, answer.Failure.Code, qt.Equals, verdict.Stopping)
+				qt.Check(t, time.Now(), qt.Equals, schedule.FirstAnswer)
+			})
+		}
+		synctest.Wait()
+		dispatcher.Stop.Begin(schedule)
+		group.Wait()
+		// The attempts that are left are cancelled.
+		time.Sleep(time.Second)
+	})
+}
+
 // A stop that refuses many requests at once does not have their callers return at the
 // same time, and has the urgent ones return first.
 func TestStopSpreadsReturningCallers(t *testing.T) {
--- a/shutdown/shutdown.go
+++ b/shutdown/shutdown.go
@@ -8,12 +8,14 @@
 // A gathered request is answered as it stands with the shards that have replied, if
 // they are enough. Any other one gets a failure that says that it may have run. So
 // each request has an answer before the process ends. How long the answers take to
-// write depends on their sizes, the links and the processor, so the process goes on
-// while they advance, until shortly before it is killed.
+// write depends on their number and sizes, the links and the processor. So the answers
+// begin before LastAnswer when many are left, and the process goes on while they
+// advance, until shortly before it is killed.
 package shutdown
 
 import (
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -26,6 +28,8 @@
 	LastSend time.Time
 	// LastAnswer is when requests that still await a reply are answered without it.
 	LastAnswer time.Time
+	// FirstAnswer is when they are answered at the earliest, if there are many.
+	FirstAnswer time.Time
 	// Exit is when the process ends if the answers that are left don't advance.
 	Exit time.Time
 	// LastExit is when the process ends although answers advance. In a process that
@@ -47,12 +51,15 @@
 	answerTime   = 700 * time.Millisecond
 	exitTime     = 250 * time.Millisecond
 	lastExitTime = 100 * time.Millisecond
+	// answerCost is what an answer takes on a slow processor.
+	answerCost = time.Millisecond
 	// stallTime allows for slow callers: the kernel accepts more of an answer only
 	// when a third of its buffer is free.
 	stallTime = 500 * time.Millisecond
 	// A short grace period is divided in the same proportions.
 	acceptDivisor   = 12
 	replyDivisor    = 6
+	firstDivisor    = 6
 	answerDivisor   = 8
 	exitDivisor     = 24
 	lastExitDivisor = 60
@@ -65,12 +72,13 @@
 	lastAnswer := now.Add(grace - min(answerTime, grace/answerDivisor))
 	lastSend := lastAnswer.Add(-min(replyTime, grace/replyDivisor))
 	return Schedule{
-		LastAccept: lastSend.Add(-min(acceptTime, grace/acceptDivisor)),
-		LastSend:   lastSend,
-		LastAnswer: lastAnswer,
-		Exit:       now.Add(grace - min(exitTime, grace/exitDivisor)),
-		LastExit:   now.Add(grace - min(lastExitTime, grace/lastExitDivisor)),
-		stallTime:  min(stallTime, grace/stallDivisor),
+		LastAccept:  lastSend.Add(-min(acceptTime, grace/acceptDivisor)),
+		LastSend:    lastSend,
+		FirstAnswer: now.Add(grace - grace/firstDivisor),
+		LastAnswer:  lastAnswer,
+		Exit:        now.Add(grace - min(exitTime, grace/exitDivisor)),
+		LastExit:    now.Add(grace - min(lastExitTime, grace/lastExitDivisor)),
+		stallTime:   min(stallTime, grace/stallDivisor),
 	}
 }
 
@@ -84,6 +92,8 @@
 	mu       sync.Mutex
 	begun    bool
 	schedule Schedule
+	// awaiting is the number of requests that await replies.
+	awaiting atomic.Int64
 	// advancedAt is when an answer last advanced.
 	advancedAt time.Time
 }
@@ -102,11 +112,22 @@
 	}
 	stop.begun, stop.schedule = true, schedule
 	time.AfterFunc(time.Until(schedule.LastSend), func() { close(stop.sendingEnded) })
-	time.AfterFunc(time.Until(schedule.LastAnswer), func() {
-		close(stop.answeringEnded)
-		lastExit := time.Now().Add(schedule.LastExit.Sub(schedule.LastAnswer))
-		time.AfterFunc(schedule.Exit.Sub(schedule.LastAnswer), func() { stop.endUnlessAdvancing(lastExit) })
-	})
+	time.AfterFunc(time.Until(schedule.FirstAnswer), stop.endAnswering)
+}
+
+// endAnswering closes answeringEnded at LastAnswer, or sooner by the time that the
+// answers to the requests that await replies take.
+func (stop *Stop) endAnswering() {
+	schedule := stop.schedule
+	cost := time.Duration(stop.awaiting.Load()) * answerCost
+	if wait := time.Until(schedule.LastAnswer) - cost; wait > 0 {
+		time.AfterFunc(wait, stop.endAnswering)
+		return
+	}
+	close(stop.answeringEnded)
+	delay := max(0, time.Since(schedule.LastAnswer))
+	lastExit := schedule.LastExit.Add(delay)
+	time.AfterFunc(time.Until(schedule.Exit)+delay, func() { stop.endUnlessAdvancing(lastExit) })
 }
 
 // endUnlessAdvancing closes exit when no answer has advanced for stallTime, or at
@@ -125,6 +146,15 @@
 	close(stop.exit)
 }
 
+// Await counts a request as awaiting replies until done is called.
+func (stop *Stop) Await() (done func()) {
+	if stop == nil {
+		return func() {}
+	}
+	stop.awaiting.Add(1)
+	return func() { stop.awaiting.Add(-1) }
+}
+
 // Advance records that a part of an answer was written.
 func (stop *Stop) Advance() {
 	if stop == nil {
@@ -143,7 +173,8 @@
 	return stop.sendingEnded
 }
 
-// AnsweringEnded returns a channel that is closed at LastAnswer.
+// AnsweringEnded returns a channel that is closed at LastAnswer, or sooner, but not
+// before FirstAnswer, if many requests await replies.
 func (stop *Stop) AnsweringEnded() <-chan struct{} {
 	if stop == nil {
 		return nil
--- a/shutdown/shutdown_test.go
+++ b/shutdown/shutdown_test.go
@@ -21,7 +21,8 @@
 		qt.Check(t, schedule.LastAccept.Before(now), qt.IsFalse, comment)
 		qt.Check(t, schedule.LastSend.Before(schedule.LastAccept), qt.IsFalse, comment)
 		qt.Check(t, schedule.LastAnswer.Before(schedule.LastSend), qt.IsFalse, comment)
-		qt.Check(t, schedule.LastAnswer.Before(now.Add(grace*5/6)), qt.IsFalse, comment)
+		qt.Check(t, schedule.FirstAnswer.Before(now.Add(grace*5/6)), qt.IsFalse, comment)
+		qt.Check(t, schedule.LastAnswer.Before(schedule.FirstAnswer), qt.IsFalse, comment)
 		qt.Check(t, schedule.Exit.Before(schedule.LastAnswer), qt.IsFalse, comment)
 		qt.Check(t, schedule.LastExit.Before(schedule.Exit), qt.IsFalse, comment)
 		qt.Check(t, schedule.LastExit.After(now.Add(grace)), qt.IsFalse, comment)
@@ -82,6 +83,7 @@
 func TestNilStopNeverStops(t *testing.T) {
 	var stop *shutdown.Stop
 	stop.Advance()
+	stop.Await()()
 	qt.Check(t, stateOf(stop), qt.Equals, state{true, true, true, true})
 }
 
@@ -150,3 +152,40 @@
 		qt.Check(t, time.Since(begin) <= schedule.LastExit.Sub(schedule.LastAnswer)+time.Millisecond, qt.IsTrue)
 	})
 }
+
+// Guards against hundreds of answers that are all begun too late for a slow processor.
+func TestManyAnswersBeginSooner(t *testing.T) {
+	schedule := shutdown.NewSchedule(time.Time{}, 6*time.Second)
+	first, last := schedule.FirstAnswer.Sub(time.Time{}), schedule.LastAnswer.Sub(time.Time{})
+	for _, test := range []struct {
+		name string
+		// awaiting requests await replies, of which some get one after FirstAnswer.
+		awaiting, replied int
+		want              time.Duration
+	}{
+		{name: "none", want: last},
+		{name: "some", awaiting: 50, want: last - 50*time.Millisecond},
+		{name: "hundreds", awaiting: 1000, want: first},
+		{name: "most get replies", awaiting: 200, replied: 150, want: last - 50*time.Millisecond},
+		{name: "all get replies", awaiting: 200, replied: 200, want: last},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				stop := shutdown.New()
+				begin := time.Now()
+				stop.Begin(shutdown.NewSchedule(begin, 6*time.Second))
+				for number := range test.awaiting {
+					done := stop.Await()
+					if number < test.replied {
+						time.AfterFunc(first+50*time.Millisecond, done)
+					}
+				}
+				<-stop.AnsweringEnded()
+				qt.Check(t, time.Since(begin), qt.Equals, test.want)
+				// The time until the process ends is not shortened.
+				<-stop.Exit()
+				qt.Check(t, time.Since(begin), qt.Equals, schedule.Exit.Sub(time.Time{}))
+			})
+		})
+	}
+}
