caller: close connections without a reset of the last answer

A caller that had sent bytes after its request, such as an early next request, got a part of a long answer and then a reset, if the host closed the connection after the answer, as a stopping host always does.

Cause: a connection that is closed with unread bytes is reset. The kernel drops what it has not sent, and the reset may overtake the rest.

Ruled out: the exit of the process; the answer was cut at its close, seconds before.

Change: Close ends sending only. Meanwhile it counts towards the limit and may be closed to make room. A stop waits for such connections, since the exit resets them too.

--- a/caller/limiter.go
+++ b/caller/limiter.go
@@ -30,6 +30,8 @@
 
 	mu   sync.Mutex
 	open int
+	// lingering is the number of open connections that linger.
+	lingering int
 	// lastAccept is when a connection was last accepted.
 	lastAccept time.Time
 	// unused holds the connections without a request so far, idle those between
@@ -72,6 +74,9 @@
 	// head reserves the memory of the head that is being read.
 	head   *quota.Reservation
 	closed bool
+	// lingers is set when Close has been called and the last answer may still be on
+	// its way.
+	lingers bool
 }
 
 // LastAccept returns when a connection was last accepted, the zero time before
@@ -142,12 +147,30 @@
 	conn.limiter.open--
 }
 
-// Close implements net.Conn.
+// Close implements net.Conn. A connection with answers lingers. It is counted until it
+// is closed, and may be closed to make room.
 func (conn *limitedConn) Close() error {
 	conn.limiter.mu.Lock()
-	conn.release()
-	conn.limiter.mu.Unlock()
-	return conn.Conn.Close()
+	tcp, isTCP := conn.Conn.(*net.TCPConn)
+	if !isTCP || conn.closed || conn.list != &conn.limiter.idle {
+		conn.release()
+		conn.limiter.mu.Unlock()
+		return conn.Conn.Close()
+	}
+	defer conn.limiter.mu.Unlock()
+	if conn.lingers {
+		return nil
+	}
+	conn.lingers = true
+	conn.limiter.lingering++
+	go func() {
+		linger(tcp)
+		conn.limiter.mu.Lock()
+		defer conn.limiter.mu.Unlock()
+		conn.limiter.lingering--
+		conn.release()
+	}()
+	return nil
 }
 
 // Read implements net.Conn. Outside of requests it reserves the memory of the
--- /dev/null
+++ b/caller/linger_test.go
@@ -0,0 +1,54 @@
+package caller_test
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"fescuehall/caller"
+	"fescuehall/quota"
+)
+
+// Guards against an answer that a reset cuts, because its connection is closed while
+// bytes that the caller sent early are unread.
+func TestAnswerBeforeEarlyRequestArrives(t *testing.T) {
+	const bodyBytes = 300_000
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	qt.Assert(t, err, qt.IsNil)
+	limiter := &caller.Limiter{MaxConns: 10, Memory: &quota.Quota{Bytes: 1 << 20}}
+	started, release, closed := make(chan bool), make(chan bool), make(chan bool, 1)
+	server := &http.Server{
+		ConnContext: caller.Attach,
+		ConnState: func(_ net.Conn, state http.ConnState) {
+			if state == http.StateClosed {
+				closed <- true
+			}
+		},
+		Handler: caller.Handler(http.HandlerFunc(func(writer http.ResponseWriter, _ *http.Request) {
+			started <- true
+			<-release
+			writer.Header().Set("Connection", "close")
+			writer.Write(make([]byte, bodyBytes))
+		})),
+	}
+	go server.Serve(limiter.Listener(listener))
+	t.Cleanup(func() { server.Close() })
+	conn := dial(t, listener.Addr().String())
+	qt.Assert(t, conn.(*net.TCPConn).SetReadBuffer(16<<10), qt.IsNil)
+	send(t, conn, "/first")
+	<-started
+	send(t, conn, "/early")
+	close(release)
+	<-closed
+	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	qt.Assert(t, err, qt.IsNil)
+	got, err := io.Copy(io.Discard, response.Body)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, got, qt.Equals, int64(bodyBytes))
+	conn.Close()
+	qt.Assert(t, limiter.AwaitClosed(t.Context()), qt.IsNil)
+}
