--- a/caller/conn.go
+++ b/caller/conn.go
@@ -67,12 +67,28 @@
 	conn.limiter.open--
 }
 
-// Close implements net.Conn.
+// Close implements net.Conn. A connection with an answer lingers. It is counted until
+// it is closed, and may be closed to make room.
 func (conn *limitedConn) Close() error {
-	conn.limiter.mu.Lock()
-	conn.release()
-	conn.limiter.mu.Unlock()
-	return conn.Conn.Close()
+	limiter := conn.limiter
+	limiter.mu.Lock()
+	defer limiter.mu.Unlock()
+	if conn.list == &limiter.lingering {
+		return nil
+	}
+	tcp, isTCP := conn.Conn.(*net.TCPConn)
+	if !isTCP || conn.closed || !conn.answered || limiter.cut {
+		conn.release()
+		return conn.Conn.Close()
+	}
+	conn.moveTo(&limiter.lingering)
+	go func() {
+		linger(tcp)
+		limiter.mu.Lock()
+		defer limiter.mu.Unlock()
+		conn.release()
+	}()
+	return nil
 }
 
 // readsHead records bytes that were read outside of requests, and reports whether they
--- a/caller/limiter.go
+++ b/caller/limiter.go
@@ -41,10 +41,12 @@
 	// lastAccept is when a connection was last accepted.
 	lastAccept time.Time
 	// unused holds the connections without a request so far, idle those between
-	// two requests, busy those with a request in progress; the oldest come first.
-	unused list.List
-	idle   list.List
-	busy   list.List
+	// two requests, busy those with a request in progress, lingering those that this
+	// host has closed; the oldest come first.
+	unused    list.List
+	idle      list.List
+	busy      list.List
+	lingering list.List
 }
 
 // Unanswered describes a request that was read and whose connection was closed by
@@ -105,7 +107,7 @@
 // closeOne closes a connection without a request in progress, other than the
 // given one. It reports whether there was one.
 func (limiter *Limiter) closeOne(except *limitedConn) bool {
-	for _, candidates := range []*list.List{&limiter.unused, &limiter.idle} {
+	for _, candidates := range []*list.List{&limiter.unused, &limiter.idle, &limiter.lingering} {
 		for element := candidates.Front(); element != nil; element = element.Next() {
 			if conn := element.Value.(*limitedConn); conn != except {
 				limiter.reportClosed(conn)
