dispatch: replace the bundles of a stopping peer like those of a killed one

What callers saw: 502 "this host stops before all replies have arrived" from a host that did not stop. It had passed shards to a peer whose replicas did not reply, and the peer's stop answered the bundle at its LastAnswer without any shard. Had the peer been killed instead, the host would have asked the replicas itself and answered with all shards.

Cause: a bundle that may have run is requested from the replicas only after Silent and ConnectionLost. The failure with which a stop ends a bundle, Stopping, came later and was not among them.

Ruled out: a false promise (the verdict was MayHaveRun, hence 502 and not 503); bundles that the peer refuses while it stops, which are NotRun and were requested directly.

Change: Stopping counts as well. The bounds stay: only if no shard of the bundle was answered, within the budget, and only if the service has no more replicas than max_attempts, so that a request runs on no more replicas than that. Wire gets a Dial seam for the test.

Open: the shards that a stopping peer omits from a reply with others are not requested again, since receipts don't tell which they are.

--- a/dispatch/bundle.go
+++ b/dispatch/bundle.go
@@ -208,11 +208,12 @@
 
 // repeatable reports whether a part may be requested once more although it may
 // have run at a peer. The peer may have tried any replicas, as many as the route
-// allows, so the service must not have more than these.
+// allows, so the service must not have more than these. A peer that stops has given
+// its attempts up, as one whose connection is lost.
 func (run *run) repeatable(part *part, sentBundle *sentBundle) bool {
 	maxAttempts := run.request.Route.MaxAttempts
 	switch sentBundle.failure.Code {
-	case verdict.Silent, verdict.ConnectionLost:
+	case verdict.Silent, verdict.ConnectionLost, verdict.Stopping:
 		replicas := len(run.dispatcher.Replicas(part.service))
 		return maxAttempts > 1 && replicas > 0 && replicas <= maxAttempts
 	}
--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -353,6 +353,7 @@
 		{name: "the same answer again", updates: []*dispatch.BundleReply{newBundleReply("x"), newBundleReply("x")}, answered: 3, early: true},
 		{name: "not run", last: &dispatch.BundleReply{Failure: newFailure(verdict.NotRun, verdict.Unreachable)}, direct: 2, answered: 4},
 		{name: "may have run", last: &dispatch.BundleReply{Failure: newFailure(verdict.MayHaveRun, verdict.BackendError)}, verdict: verdict.MayHaveRun},
+		{name: "may have run before the peer stopped", last: &dispatch.BundleReply{Failure: newFailure(verdict.MayHaveRun, verdict.Stopping)}, direct: 2, answered: 4},
 		{name: "may have run before the connection was lost", last: &dispatch.BundleReply{Failure: newFailure(verdict.MayHaveRun, verdict.ConnectionLost)}, direct: 2, answered: 4},
 	}
 	for _, test := range tests {
--- a/peer/frames.go
+++ b/peer/frames.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"net"
 	"sync"
 	"time"
 
@@ -27,6 +28,8 @@
 	Event func(event string, fields logbook.Fields)
 	// Memory limits the replies that are being read or handled; nil sets no limit.
 	Memory *quota.Quota
+	// Dial opens a connection to a host. If it is nil, net.DialTimeout is used.
+	Dial func(network, address string, timeout time.Duration) (net.Conn, error)
 
 	// links maps addresses to clients, of type *link.Client.
 	links sync.Map
@@ -102,7 +105,7 @@
 func (wire *Wire) link(address string) *link.Client {
 	client, ok := wire.links.Load(address)
 	if !ok {
-		client, _ = wire.links.LoadOrStore(address, &link.Client{Address: address, Memory: wire.Memory})
+		client, _ = wire.links.LoadOrStore(address, &link.Client{Address: address, Memory: wire.Memory, Dial: wire.Dial})
 	}
 	return client.(*link.Client)
 }
