link: test replies that arrive after the next connection was opened

Proof for the change to stops, no fault of its own: when a client has left the connection to a stopping server and has connected to the next process at the address, the replies to its earlier request, one or several, still arrive.

--- a/link/stop_test.go
+++ b/link/stop_test.go
@@ -264,3 +264,61 @@
 		})
 	}
 }
+
+// Guards against a reply that is dropped because the client has opened a connection to
+// the next process at the address meanwhile.
+func TestReplyArrivesAfterTheNextConnection(t *testing.T) {
+	for _, test := range []struct {
+		name string
+		// replies is the number of replies to the request, which come one after the
+		// other.
+		replies int64
+	}{
+		{name: "one reply", replies: 1},
+		{name: "several replies", replies: 3},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				handle := func(_ context.Context, request frame.Frame, reply link.Reply) {
+					if string(request.Body) != "slow" {
+						reply(frame.SubReply, request.Body)
+						return
+					}
+					for range test.replies {
+						time.Sleep(50 * time.Millisecond)
+						reply(frame.SubReply, request.Body)
+					}
+				}
+				server, next := &link.Server{Handle: handle}, &link.Server{Handle: handle}
+				host, nextHost := newDistantHost(), newDistantHost()
+				go server.Run(host)
+				go next.Run(nextHost)
+				client := &link.Client{Address: "peer", Dial: func(network, address string, timeout time.Duration) (net.Conn, error) {
+					if conn, err := host.dial(network, address, timeout); err == nil {
+						return conn, nil
+					}
+					return nextHost.dial(network, address, timeout)
+				}}
+				var received atomic.Int64
+				slow := make(chan error, 1)
+				go func() {
+					slow <- client.Stream(t.Context(), frame.SubRequest, []byte("slow"), func(frame.Frame) bool {
+						return received.Add(1) < test.replies
+					})
+				}()
+				time.Sleep(2 * latency)
+				stopped := make(chan error, 1)
+				go func() { stopped <- server.Shutdown(t.Context()) }()
+				time.Sleep(4 * latency)
+				_, err := client.Call(t.Context(), frame.SubRequest, []byte("next"))
+				qt.Check(t, err, qt.IsNil)
+				qt.Check(t, received.Load(), qt.Equals, int64(0))
+				qt.Check(t, <-slow, qt.IsNil)
+				qt.Check(t, received.Load(), qt.Equals, test.replies)
+				qt.Check(t, <-stopped, qt.IsNil)
+				qt.Check(t, next.Shutdown(t.Context()), qt.IsNil)
+				time.Sleep(time.Second)
+			})
+		})
+	}
+}
