link: keep watching a peer that has asked the client to leave

What callers would see: a gathered request waits until its deadline for a bundle, when its peer stops and its machine vanishes during the stop, without closing the connection.

Cause: the frame with which a stopping server asks a client to leave counted as a frame that arrives while a reply is due, after which the connection is not probed before the next request. On a connection that the client leaves there is none.

Ruled out: a peer whose process is killed; its connection ends.

Change: that frame doesn't count. The calls that are pending have the connection probed as before.

Measured: TestPeerThatVanishesDuringItsStopIsSilent failed before, the call ended at its deadline of 10 s (Cancelled); now it ends as ConnectionLost.

--- a/link/conn.go
+++ b/link/conn.go
@@ -225,7 +225,10 @@
 			conn.close(err)
 			return err
 		}
-		conn.recordReceived()
+		if received.Type != frame.Cancel {
+			// A peer that asks to leave still owes its replies.
+			conn.recordReceived()
+		}
 		handle(received, reservation.Release)
 	}
 	return conn.err
--- a/link/stop_test.go
+++ b/link/stop_test.go
@@ -322,3 +322,24 @@
 		})
 	}
 }
+
+// Guards against a call that waits until its deadline because its peer asked the client
+// to leave, and then vanished without closing the connection.
+func TestPeerThatVanishesDuringItsStopIsSilent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		near, far := net.Pipe()
+		defer far.Close()
+		go io.Copy(io.Discard, far)
+		client := &link.Client{Address: "pipe", Dial: func(string, string, time.Duration) (net.Conn, error) { return near, nil }}
+		time.AfterFunc(50*time.Millisecond, func() {
+			question, _ := frame.Frame{Type: frame.Cancel}.Append(nil)
+			far.Write(question)
+		})
+		ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+		defer cancel()
+		_, err := client.Call(ctx, frame.SubRequest, []byte("request"))
+		qt.Assert(t, verdict.FailureOf(err).Code, qt.Equals, verdict.ConnectionLost)
+		qt.Assert(t, verdict.FailureOf(err).Verdict, qt.Equals, verdict.MayHaveRun)
+		time.Sleep(time.Second)
+	})
+}
