--- a/link/stop_test.go
+++ b/link/stop_test.go
@@ -1,6 +1,7 @@
 package link_test
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -95,6 +96,8 @@
 	otherHandling time.Duration
 	// connected is set if the host has a connection to the peer.
 	connected bool
+	// kind is the type of the request.
+	kind frame.Type
 }
 
 // run returns what became of the request and whether the peer handled it.
@@ -137,7 +140,7 @@
 		close(stopped)
 	}()
 	time.Sleep(test.sentAt)
-	_, failure = client.Call(t.Context(), frame.SubRequest, []byte("crossing"))
+	_, failure = client.Call(t.Context(), test.kind, []byte("crossing"))
 	qt.Check(t, <-otherErr, qt.IsNil)
 	<-stopped
 	client.Close()
@@ -159,10 +162,14 @@
 		{handling: 7 * time.Millisecond},
 		{otherHandling: 130 * time.Millisecond},
 		{handling: 7 * time.Millisecond, otherHandling: 130 * time.Millisecond},
+		{connected: true, kind: frame.Probe},
+		{connected: true, kind: frame.Probe, otherHandling: 130 * time.Millisecond},
+		{kind: frame.Probe},
+		{connected: true, kind: frame.FeedFetch, otherHandling: 130 * time.Millisecond},
 	} {
 		for sentAt := time.Duration(0); sentAt <= 300*time.Millisecond; sentAt += time.Millisecond {
-			test.sentAt, test.stoppedAt = sentAt, stoppedAt
-			t.Run(fmt.Sprintf("connected %v, handled in %v, other in %v, sent at %v", test.connected, test.handling, test.otherHandling, sentAt), func(t *testing.T) {
+			test.sentAt, test.stoppedAt, test.kind = sentAt, stoppedAt, cmp.Or(test.kind, frame.SubRequest)
+			t.Run(fmt.Sprintf("type %d, connected %v, handled in %v, other in %v, sent at %v", test.kind, test.connected, test.handling, test.otherHandling, sentAt), func(t *testing.T) {
 				synctest.Test(t, func(t *testing.T) {
 					handled, err := test.run(t)
 					if err != nil {
