peer: test bundles that cross the stop of their peer

On the link of 18 of 122 fail: 9 answers lack the three shards of the bundle, and 9 requests that need all shards end as 502, "connection closed before the reply".

--- a/peer/stop_test.go
+++ b/peer/stop_test.go
@@ -28,6 +28,30 @@
 	"fescuehall/verdict"
 )
 
+// distantConn is one end of a connection whose bytes take some time. As in a socket,
+// what has not been read when it is closed is lost.
+type distantConn struct {
+	net.Conn
+	latency time.Duration
+	closed  atomic.Bool
+}
+
+// Read implements net.Conn.
+func (conn *distantConn) Read(buf []byte) (int, error) {
+	count, err := conn.Conn.Read(buf)
+	time.Sleep(conn.latency)
+	if conn.closed.Load() {
+		return 0, net.ErrClosed
+	}
+	return count, err
+}
+
+// Close implements net.Conn.
+func (conn *distantConn) Close() error {
+	conn.closed.Store(true)
+	return conn.Conn.Close()
+}
+
 // stoppableHost is a host that gathers shards, by itself or for a peer. It accepts
 // connections until its process ends.
 type stoppableHost struct {
@@ -37,6 +61,7 @@
 	server      *link.Server
 	delegator   *peer.Delegator
 	connections chan net.Conn
+	latency     time.Duration
 	closed      chan struct{}
 	once        sync.Once
 
@@ -64,7 +89,8 @@
 func (host *stoppableHost) Addr() net.Addr { return &net.TCPAddr{} }
 
 func (host *stoppableHost) dial(string, string, time.Duration) (net.Conn, error) {
-	near, far := net.Pipe()
+	nearPipe, farPipe := net.Pipe()
+	near, far := &distantConn{Conn: nearPipe, latency: host.latency}, &distantConn{Conn: farPipe, latency: host.latency}
 	select {
 	case host.connections <- far:
 	case <-host.closed:
@@ -120,6 +146,8 @@
 	replicas int
 	minShare float64
 	target   time.Duration
+	// latency is how long bytes are on the way between the hosts.
+	latency time.Duration
 }
 
 // stopOutcome is what became of the request.
@@ -134,7 +162,7 @@
 
 // newHost returns a host whose replicas take the given time.
 func (test stopCase) newHost(work time.Duration, ran func(roster.Replica)) *stoppableHost {
-	host := &stoppableHost{stop: shutdown.New(), connections: make(chan net.Conn), closed: make(chan struct{})}
+	host := &stoppableHost{stop: shutdown.New(), latency: test.latency, connections: make(chan net.Conn), closed: make(chan struct{})}
 	dispatcher := &dispatch.Dispatcher{
 		Stop: host.stop,
 		Send: func(ctx context.Context, attempt *dispatch.Attempt) *dispatch.Reply {
@@ -199,6 +227,7 @@
 	dispatcher.Delegate = asker.delegator.Delegate
 	dispatcher.HeardFrom = func(_ string, since time.Time) bool { return asker.HeardFrom(shard.Host{Address: "peer"}, since) }
 	go other.server.Run(other)
+	qt.Check(t, asker.Probe(t.Context(), shard.Host{Address: "peer"}), qt.IsNil)
 	began := time.Now()
 	var group sync.WaitGroup
 	if test.peerGrace > 0 {
@@ -319,3 +348,20 @@
 		}
 	}
 }
+
+// Guards against an answer that lacks the shards of a bundle which crossed the stop of
+// its peer on the network.
+func TestBundleThatCrossesAStopIsGathered(t *testing.T) {
+	for _, minShare := range []float64{0, 1} {
+		for sentAt := 2470 * time.Millisecond; sentAt <= 2530*time.Millisecond; sentAt += time.Millisecond {
+			test := stopCase{peerGrace: 6 * time.Second, sentAt: sentAt, work: 5 * time.Millisecond, peerWork: 5 * time.Millisecond, bundled: 3, replicas: 3, minShare: minShare, target: 100 * time.Millisecond, latency: 5 * time.Millisecond}
+			t.Run(test.String(), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					outcome := test.run(t)
+					test.check(t, outcome)
+					qt.Check(t, outcome.answer.Receipts, qt.HasLen, 5)
+				})
+			})
+		}
+	}
+}
