command: handle signals until the process has ended

A process that had stopped, and had only lines of its log left to write, was ended by a further SIGTERM or SIGINT: "signal: terminated" instead of exit status 0, and a log without its "stopped" line. Callers had their answers by then, so this is no cause of closed connections; it explains stops that lack "stopped" in a record.

Cause: the function that ends signal handling ran when Run returned, before the log was written. Ruled out: the handling during a stop, where further signals had no effect. Now the handlers stay for the life of the process, in serve, load and experiment too.

A process whose log is never read ends by SIGKILL alone, as it did after a single SIGTERM.

--- a/command/command.go
+++ b/command/command.go
@@ -88,9 +88,12 @@
 	return ExitFailed
 }
 
-// signalContext returns a context that is cancelled by SIGINT or SIGTERM.
-func signalContext() (context.Context, context.CancelFunc) {
-	return signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+// signalContext returns a context that is cancelled by the first SIGINT or SIGTERM.
+// Further ones have no effect until the process has ended, since they would end it
+// before its log and its results are written.
+func signalContext() context.Context {
+	ctx, _ := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	return ctx
 }
 
 const (
--- a/command/experiment.go
+++ b/command/experiment.go
@@ -21,8 +21,7 @@
 
 // Run runs the experiments one after another.
 func (experimentCommand *experimentCommand) Run() error {
-	ctx, cancel := signalContext()
-	defer cancel()
+	ctx := signalContext()
 	for _, candidate := range experiment.All() {
 		if experimentCommand.List {
 			fmt.Printf("%-10s %s\n", candidate.Name, candidate.Help)
--- a/command/front.go
+++ b/command/front.go
@@ -34,8 +34,7 @@
 		return err
 	}
 	log.Host = settings.Host
-	ctx, cancel := signalContext()
-	defer cancel()
+	ctx := signalContext()
 	reload := make(chan os.Signal, 1)
 	signal.Notify(reload, syscall.SIGHUP)
 	// Writing to a log whose reader has closed it must not end the process.
--- a/command/load.go
+++ b/command/load.go
@@ -38,8 +38,7 @@
 		}
 		streams = append(streams, stream)
 	}
-	ctx, cancel := signalContext()
-	defer cancel()
+	ctx := signalContext()
 	runner := &load.Runner{Name: fmt.Sprint(time.Now().UnixNano()), Client: &http.Client{Timeout: callTimeout, Transport: &http.Transport{MaxIdleConnsPerHost: 512}}}
 	for _, host := range loadCommand.Hosts {
 		runner.URLs = append(runner.URLs, "http://"+host)
--- a/command/serve.go
+++ b/command/serve.go
@@ -26,8 +26,7 @@
 	if err != nil {
 		return err
 	}
-	ctx, cancel := signalContext()
-	defer cancel()
+	ctx := signalContext()
 	host := &entry.Host{Settings: settings, Logbook: log}
 	return host.Run(ctx)
 }
