command: handle signals before the settings are read

A SIGHUP that arrived while a process was starting ended it ("signal: hangup"), so the change of settings that it announced cost a start, and callers found nobody at its address.

Cause: the handler of SIGHUP was set after the settings had been read and the log opened, and SIGHUP ends a process without a handler. Ruled out: a SIGHUP that is lost, since the channel keeps one until the host runs. The handlers are now the first thing that the command sets. A process that is told to stop before it listens ends at once, as it did when SIGTERM had no handler yet, instead of going through a stop.

--- a/command/front.go
+++ b/command/front.go
@@ -19,6 +19,13 @@
 
 // Run serves until SIGINT or SIGTERM.
 func (front *front) Run() error {
+	// Without a handler SIGHUP ends the process, so the signals come before anything
+	// that takes time. A SIGHUP has the settings read again once the host runs.
+	reload := make(chan os.Signal, 1)
+	signal.Notify(reload, syscall.SIGHUP)
+	// Writing to a log whose reader has closed it must not end the process.
+	signal.Ignore(syscall.SIGPIPE)
+	ctx := signalContext()
 	path, err := platform.SettingsPath()
 	if err != nil {
 		return &ExitError{Code: ExitUsage, Detail: err.Error()}
@@ -34,11 +41,10 @@
 		return err
 	}
 	log.Host = settings.Host
-	ctx := signalContext()
-	reload := make(chan os.Signal, 1)
-	signal.Notify(reload, syscall.SIGHUP)
-	// Writing to a log whose reader has closed it must not end the process.
-	signal.Ignore(syscall.SIGPIPE)
+	if ctx.Err() != nil {
+		// No caller has been able to connect.
+		return nil
+	}
 	host := &platform.Host{Settings: settings, Logbook: log, SettingsPath: path, Reload: reload, MetricsAddress: front.Metrics}
 	return host.Run(ctx)
 }
