caller: ignore what is read from a connection that lingers

Cause: the HTTP server may leave a read waiting when it closes a connection (after it has read the rest of a body that the handler did not). What that read returned counted as a new head, for which the connection had no reservation any more, and each attempt to reserve memory closed another connection. Found by the lines 'closed a connection' and 'unanswered', with 17 connections open and no memory in use.

Reads of such connections fail now.

--- a/caller/conn.go
+++ b/caller/conn.go
@@ -142,7 +142,7 @@
 	limiter := conn.limiter
 	limiter.mu.Lock()
 	defer limiter.mu.Unlock()
-	if conn.closed {
+	if conn.closed || conn.list == &limiter.lingering {
 		// A request that was read as the connection was closed must not be served:
 		// nobody would get its answer.
 		if conn.readsHead(bytes) {
--- a/caller/linger_test.go
+++ b/caller/linger_test.go
@@ -52,3 +52,34 @@
 	// A stop waits for such connections.
 	qt.Assert(t, server.Shutdown(t.Context()), qt.IsNil)
 }
+
+// Guards against a connection that lingers and makes room although it needs none: the
+// HTTP server may still wait for bytes on it, and the end of the caller's would close
+// the connections of other callers.
+func TestLingeringConnectionClosesNoOther(t *testing.T) {
+	const callers = 50
+	listener := listen(t)
+	closed := make(chan string, callers)
+	server := &caller.Server{
+		Limiter: &caller.Limiter{MaxConns: 10 * callers, Memory: &quota.Quota{Bytes: 1 << 20}, Closed: func(remote string) { closed <- remote }},
+		HTTP: &http.Server{Handler: http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+			if request.Method == http.MethodPost {
+				writer.Header().Set("Connection", "close")
+			}
+		})},
+	}
+	go server.Serve(listener)
+	t.Cleanup(func() { server.HTTP.Close() })
+	idle := dial(t, listener.Addr().String())
+	for range callers {
+		conn := dial(t, listener.Addr().String())
+		_, err := io.WriteString(conn, "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 1\r\n\r\nx")
+		qt.Assert(t, err, qt.IsNil)
+		qt.Assert(t, answer(t, conn), qt.Equals, "HTTP/1.1 200 OK")
+		qt.Assert(t, conn.Close(), qt.IsNil)
+		send(t, idle, "/")
+		qt.Assert(t, answer(t, idle), qt.Equals, "HTTP/1.1 200 OK")
+	}
+	qt.Assert(t, server.Shutdown(t.Context()), qt.IsNil)
+	qt.Assert(t, closed, qt.HasLen, 0)
+}
