exchange: reject heads that hold a second status line

A replica that sends a part of an extra response, and the next response after it on the same connection, turned a failure into a success: Pool.Do returned status 200 with the body and the header fields of a 500. By the code, a caller would get that as a 200.

Cause: a head that breaks off in the reason, or in the value of a header field that precedes the ID, is continued by the next status line. http.ReadResponse takes that line for a part of the reason or the value, and the ID that follows is the right one. conn.reusable finds such bytes only if they arrive before the request is sent. Ruled out: a replica that closes after a cut head, which always fails (the tests before this commit).

Change: a response fails as one that may have run if its reason or a header value holds a status line of HTTP/1, wherever the cut was. No header that the protocol names holds one.

A head that breaks off before its status code, or in a name, was rejected before.

--- a/exchange/conn.go
+++ b/exchange/conn.go
@@ -4,9 +4,12 @@
 	"bufio"
 	"cmp"
 	"context"
+	"errors"
 	"io"
 	"net"
 	"net/http"
+	"regexp"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -104,6 +107,9 @@
 	if err != nil {
 		return nil, false, cmp.Or(conn.source.err, err)
 	}
+	if holdsStatusLine(response) {
+		return nil, false, errSecondStatusLine
+	}
 	// The body is not closed, since that reads it to its end.
 	body, err := conn.readBody(response, request)
 	if err != nil {
@@ -113,6 +119,26 @@
 	return &Response{Status: response.StatusCode, Header: response.Header, Body: body}, !response.Close, nil
 }
 
+// errSecondStatusLine is the error for a head in which another one begins: the server
+// broke off a response and sent the next on the same connection.
+var errSecondStatusLine = errors.New("the head of the response holds a second status line")
+
+var statusLine = regexp.MustCompile(`HTTP/1\.[0-9] [0-9]{3}`)
+
+// holdsStatusLine reports whether the reason or a header field of a response holds a
+// status line.
+func holdsStatusLine(response *http.Response) bool {
+	if statusLine.MatchString(response.Status) {
+		return true
+	}
+	for _, values := range response.Header {
+		if slices.ContainsFunc(values, statusLine.MatchString) {
+			return true
+		}
+	}
+	return false
+}
+
 // readBody reads the body of a response. The memory for a body of known length
 // is reserved before it is read.
 func (conn *conn) readBody(response *http.Response, request *Request) ([]byte, error) {
