caller: read the rest of a request that a stop's check overtook

A stop makes reads of idle connections fail by a deadline that has passed. If the check came when the first part of a head had been read and its reader had not run yet, the connection counted as one with a request, but its next read failed: the caller got a reset. If it came between two requests that were read together, the body of the second one could not be read, and its handler got a timeout.

Cause: the deadline stayed when the connection was no longer to be closed, and the HTTP server's own deadlines were dropped before the handler began.

Ruled out for whole heads that were read at once: the HTTP server sets a new deadline after the head.

Change: the deadline is removed as soon as a request has arrived on the connection, and when a handler begins.

--- a/caller/conn.go
+++ b/caller/conn.go
@@ -153,7 +153,11 @@
 	if conn.list == &limiter.busy {
 		return nil
 	}
+	drained := conn.drained()
 	whole := conn.readsHead(bytes)
+	if drained && !conn.drained() {
+		conn.resume()
+	}
 	for !conn.headMemory.Reserve(len(bytes) * headExpansion) {
 		if limiter.closeOne(conn) {
 			continue
@@ -192,6 +196,9 @@
 	if conn.closed {
 		return false
 	}
+	if conn.drained() {
+		conn.resume()
+	}
 	conn.moveTo(&conn.limiter.busy)
 	conn.headMemory.Release()
 	conn.handled = true
--- a/caller/drain.go
+++ b/caller/drain.go
@@ -67,3 +67,10 @@
 	}
 	return conn.list == &limiter.idle
 }
+
+// resume lets reads wait again that endIdle has made to fail, since a request has
+// arrived.
+func (conn *limitedConn) resume() {
+	// If it fails, the connection is closed already.
+	_ = conn.Conn.SetReadDeadline(time.Time{})
+}
--- /dev/null
+++ b/caller/drained_test.go
@@ -0,0 +1,79 @@
+package caller_test
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"fescuehall/caller"
+	"fescuehall/quota"
+)
+
+// Guards against the rest of a head that is not read after a stop's check came between.
+func TestStopReadsTheRestOfAHeadThatItOvertook(t *testing.T) {
+	held := newHeldListener(listen(t))
+	server := serveHeld(t, held, 10)
+	conn := dial(t, held.Addr().String())
+	_, err := io.WriteString(conn, "GET /last HTTP/1.1\r\nHost:")
+	qt.Assert(t, err, qt.IsNil)
+	<-held.reads
+	stopped := make(chan error, 1)
+	go func() { stopped <- server.Shutdown(t.Context()) }()
+	<-held.ended
+	close(held.letRead)
+	_, err = io.WriteString(conn, " x\r\n\r\n")
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, answer(t, conn), qt.Equals, "HTTP/1.1 200 OK")
+	qt.Assert(t, <-stopped, qt.IsNil)
+}
+
+// Guards against the body of a request that is not read, because a stop's check came
+// between its head, which was read early, and its handler.
+func TestStopReadsTheBodyOfAnEarlyRequest(t *testing.T) {
+	held := newHeldListener(listen(t))
+	limiter := &caller.Limiter{MaxConns: 10, Memory: &quota.Quota{Bytes: 1 << 20}}
+	idle, pass := make(chan bool, 10), make(chan bool)
+	bodies := make(chan string, 10)
+	server := &caller.Server{Limiter: limiter, HTTP: &http.Server{
+		ConnState: func(_ net.Conn, state http.ConnState) {
+			if state == http.StateIdle {
+				idle <- true
+				<-pass
+			}
+		},
+		Handler: http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+			if request.URL.Path == "/last" {
+				writer.Header().Set("Connection", "close")
+			}
+			body, err := io.ReadAll(request.Body)
+			if err != nil {
+				body = []byte(err.Error())
+			}
+			bodies <- string(body)
+		}),
+	}}
+	go server.Serve(held)
+	t.Cleanup(func() { server.HTTP.Close() })
+	conn := dial(t, held.Addr().String())
+	_, err := io.WriteString(conn, "GET / HTTP/1.1\r\nHost: x\r\n\r\nPOST /last HTTP/1.1\r\nHost: x\r\nContent-Length: 4\r\n\r\n")
+	qt.Assert(t, err, qt.IsNil)
+	<-held.reads
+	close(held.letRead)
+	<-idle
+	qt.Assert(t, <-bodies, qt.Equals, "")
+	for len(held.ended) > 0 {
+		<-held.ended
+	}
+	stopped := make(chan error, 1)
+	go func() { stopped <- server.Shutdown(t.Context()) }()
+	<-held.ended
+	close(pass)
+	_, err = io.WriteString(conn, "body")
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, <-bodies, qt.Equals, "body")
+	conn.Close()
+	qt.Assert(t, <-stopped, qt.IsNil)
+}
