caller: read what has arrived between two checks of a stop

A request that had arrived on an idle connection was dropped, and its caller got a reset, if a stop's check came between two steps of the read that looks for it.

Cause: the read removed the passed deadline and then read. The check, which comes every 10 ms, sets the deadline again in between, so that the read failed at once.

Ruled out: a read that finds nothing; the request lay in the socket before the read.

Change: the bytes are read without regard to the deadline, which the read no longer changes.

How often it happens was not measured.

--- a/caller/drained_test.go
+++ b/caller/drained_test.go
@@ -4,7 +4,10 @@
 	"io"
 	"net"
 	"net/http"
+	"sync/atomic"
+	"syscall"
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 
@@ -12,6 +15,67 @@
 	"fescuehall/quota"
 )
 
+// endedAgain is a connection whose reads are made to fail once more as soon as they are
+// allowed again, as by a stop's next check.
+type endedAgain struct {
+	net.Conn
+	armed *atomic.Bool
+}
+
+func (endedAgain *endedAgain) SetReadDeadline(deadline time.Time) error {
+	err := endedAgain.Conn.SetReadDeadline(deadline)
+	if deadline.IsZero() && endedAgain.armed.CompareAndSwap(true, false) {
+		return endedAgain.Conn.SetReadDeadline(time.Unix(1, 0))
+	}
+	return err
+}
+
+// SyscallConn implements syscall.Conn.
+func (endedAgain *endedAgain) SyscallConn() (syscall.RawConn, error) {
+	return endedAgain.Conn.(syscall.Conn).SyscallConn()
+}
+
+// endedAgainListener accepts endedAgain connections.
+type endedAgainListener struct {
+	net.Listener
+	armed atomic.Bool
+}
+
+func (listener *endedAgainListener) Accept() (net.Conn, error) {
+	accepted, err := listener.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return &endedAgain{Conn: accepted, armed: &listener.armed}, nil
+}
+
+// Guards against a check of the stop that makes the read of an arrived request fail.
+func TestStopReadsWhatHasArrivedBetweenTwoChecks(t *testing.T) {
+	ended := &endedAgainListener{Listener: listen(t)}
+	held := newHeldListener(ended)
+	held.startReads = make(chan bool)
+	held.reads = nil
+	server := serveHeld(t, held, 10)
+	conn := dial(t, held.Addr().String())
+	<-held.accepted
+	send(t, conn, "/first")
+	held.startReads <- true
+	held.startReads <- true
+	qt.Assert(t, answer(t, conn), qt.Equals, "HTTP/1.1 200 OK")
+	<-server.idle
+	send(t, conn, "/last")
+	for len(held.ended) > 0 {
+		<-held.ended
+	}
+	stopped := make(chan error, 1)
+	go func() { stopped <- server.Shutdown(t.Context()) }()
+	<-held.ended
+	ended.armed.Store(true)
+	close(held.startReads)
+	qt.Assert(t, answer(t, conn), qt.Equals, "HTTP/1.1 200 OK")
+	qt.Assert(t, <-stopped, qt.IsNil)
+}
+
 // Guards against the rest of a head that is not read after a stop's check came between.
 func TestStopReadsTheRestOfAHeadThatItOvertook(t *testing.T) {
 	held := newHeldListener(listen(t))
--- a/caller/received_linux.go
+++ b/caller/received_linux.go
@@ -5,7 +5,6 @@
 	"net"
 	"os"
 	"syscall"
-	"time"
 
 	"golang.org/x/sys/unix"
 )
@@ -21,15 +20,11 @@
 	if err != nil {
 		return 0, err
 	}
-	// A deadline that has passed would prevent the read.
-	if err := conn.SetReadDeadline(time.Time{}); err != nil {
-		return 0, err
-	}
 	var count int
 	var readErr error
-	if err := raw.Read(func(fd uintptr) bool {
+	// The deadline of a drain has passed, and would prevent raw.Read.
+	if err := raw.Control(func(fd uintptr) {
 		count, readErr = unix.Read(int(fd), buf)
-		return true
 	}); err != nil {
 		return 0, err
 	}
