link: accept peers again after a shortage of file descriptors

A host that had no file descriptor left when a peer connected closed the connections of all its peers, and its process ended with all requests of callers unanswered.

Cause: Run took each error of Accept for the end of the listener, and the hosts return when Run does. Found by reading the ways in which a process can end; no run of a user showed it, and whether a host reaches its limit was not measured.

Ruled out: the listeners of callers and of readiness checks. net/http accepts again after such errors.

Change: Run pauses for 50 ms and accepts again.

--- a/link/server.go
+++ b/link/server.go
@@ -9,6 +9,8 @@
 	"net"
 	"slices"
 	"sync"
+	"syscall"
+	"time"
 
 	"fescuehall/frame"
 	"fescuehall/quota"
@@ -49,10 +51,17 @@
 	errTooManyRequests = errors.New("too many requests in flight on one connection")
 )
 
+// acceptPause is how long Run waits when the process has no file descriptor left.
+const acceptPause = 50 * time.Millisecond
+
 // Run accepts connections on listener until it is closed.
 func (server *Server) Run(listener net.Listener) error {
 	for {
 		netConn, err := listener.Accept()
+		if errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE) {
+			time.Sleep(acceptPause)
+			continue
+		}
 		if err != nil {
 			server.closeAll()
 			return err
