--- a/link/server.go
+++ b/link/server.go
@@ -10,6 +10,7 @@
 	"net"
 	"slices"
 	"sync"
+	"syscall"
 	"time"
 
 	"fescuehall/frame"
@@ -65,6 +66,9 @@
 	errTooManyRequests = errors.New("too many requests in flight on one connection")
 )
 
+// acceptPause is how long Run waits when the process has no file descriptor left.
+const acceptPause = 50 * time.Millisecond
+
 // Run accepts connections on listener until it is closed or Shutdown is called.
 // Its error is net.ErrClosed after Shutdown.
 func (server *Server) Run(listener net.Listener) error {
@@ -75,6 +79,10 @@
 	defer close(server.accepted)
 	for {
 		netConn, err := listener.Accept()
+		if errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE) {
+			time.Sleep(acceptPause)
+			continue
+		}
 		if err != nil {
 			return server.acceptFailed(err)
 		}
