--- a/caller/conn.go
+++ b/caller/conn.go
@@ -81,6 +81,8 @@
 		conn.release()
 		return conn.Conn.Close()
 	}
+	// The answer is written: a stop that cuts the connection now loses none.
+	conn.headReadAt = time.Time{}
 	conn.moveTo(&limiter.lingering)
 	go func() {
 		linger(tcp)
--- a/caller/server.go
+++ b/caller/server.go
@@ -57,7 +57,10 @@
 		return nil
 	}
 	listenerErr := listener.Close()
-	<-accepted
+	select {
+	case <-accepted:
+	case <-ctx.Done():
+	}
 	drainErr := server.Limiter.drain(ctx)
 	// The only error is that the listener is closed.
 	_ = server.HTTP.Close()
