front: reply to peers' sub-requests before a stop ends

shutdown.Stop.UntilAnsweringEnded gives searches and queries a context that ends when answering ends; it replaces the goroutine for each query.

TestStopRepliesToSubRequests: the two searches replied at their deadline of 60 s before, and reply at LastAnswer now; 5 of 5 runs with the race detector. entry, dispatch, exchange, query and shutdown passed, and the stops of platform.

--- a/front/front.go
+++ b/front/front.go
@@ -177,6 +177,9 @@
 	// would release the slot while the server is still busy.
 	searchCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), remaining)
 	defer cancel()
+	// A host that stops replies to its peers before its process ends.
+	searchCtx, cancelSearch := front.Stop.UntilAnsweringEnded(searchCtx)
+	defer cancelSearch()
 	found, err := front.search(searchCtx, state.client.Load(), newSearch(request, remaining))
 	elapsed := front.Now().Sub(started)
 	releaseSlot(searchCtx, state.queue, err, elapsed)
--- a/query/query.go
+++ b/query/query.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"errors"
 	"sync"
 	"time"
 
@@ -176,31 +175,14 @@
 	}
 	ctx, cancel := context.WithDeadline(ctx, job.deadline.Add(-replyMargin))
 	defer cancel()
-	ctx = coordinator.untilStop(ctx)
+	ctx, cancel = coordinator.Stop.UntilAnsweringEnded(ctx)
+	defer cancel()
 	if job.kind.Idempotent {
 		return coordinator.queryAllShards(ctx, job)
 	}
 	return coordinator.runOnce(ctx, job)
 }
 
-// errStopping is the cause of a context that ends because the host stops.
-var errStopping = errors.New("the host stops")
-
-// untilStop returns a context that ends with ctx, or earlier when the host stops and
-// answers its requests as they stand.
-func (coordinator *Coordinator) untilStop(ctx context.Context) context.Context {
-	ctx, cancel := context.WithCancelCause(ctx)
-	go func() {
-		select {
-		case <-coordinator.Stop.AnsweringEnded():
-			cancel(errStopping)
-		case <-ctx.Done():
-			cancel(nil)
-		}
-	}()
-	return ctx
-}
-
 // queryAllShards queries every shard of a snapshot. It falls back to another
 // snapshot when some shard does not have the first one yet.
 func (coordinator *Coordinator) queryAllShards(ctx context.Context, job *job) *answer.Answer {
--- a/query/shard.go
+++ b/query/shard.go
@@ -9,6 +9,7 @@
 	"fescuehall/rank"
 	"fescuehall/replica"
 	"fescuehall/service"
+	"fescuehall/shutdown"
 	"fescuehall/verdict"
 )
 
@@ -82,7 +83,7 @@
 			run.startHedge(ctx)
 		case <-ctx.Done():
 			round.recordOverload(rank.Outcome{RefusedOrLate: run.deadlineReached()})
-			if context.Cause(ctx) == errStopping {
+			if context.Cause(ctx) == shutdown.ErrStopping {
 				return shardOutcome{shard: shard, failure: verdict.New(verdict.MayHaveRun, verdict.Stopping, "no reply before host %s stops", run.coordinator.Host)}
 			}
 			return shardOutcome{shard: shard, failure: verdict.New(verdict.MayHaveRun, verdict.DeadlinePassed, "no reply before the deadline")}
--- a/shutdown/shutdown.go
+++ b/shutdown/shutdown.go
@@ -14,6 +14,8 @@
 package shutdown
 
 import (
+	"context"
+	"errors"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -85,9 +87,11 @@
 // Stop tells the parts of a host how far its stop has got. A nil Stop is that of a
 // host that never stops. It is safe for concurrent use.
 type Stop struct {
-	sendingEnded   chan struct{}
-	answeringEnded chan struct{}
-	exit           chan struct{}
+	sendingEnded chan struct{}
+	exit         chan struct{}
+	// answering ends at LastAnswer, or sooner.
+	answering     context.Context
+	endsAnswering context.CancelFunc
 
 	mu       sync.Mutex
 	begun    bool
@@ -100,7 +104,9 @@
 
 // New returns the Stop of a host that runs.
 func New() *Stop {
-	return &Stop{sendingEnded: make(chan struct{}), answeringEnded: make(chan struct{}), exit: make(chan struct{})}
+	stop := &Stop{sendingEnded: make(chan struct{}), exit: make(chan struct{})}
+	stop.answering, stop.endsAnswering = context.WithCancel(context.Background())
+	return stop
 }
 
 // Begin begins the stop. Only the first call has an effect.
@@ -124,7 +130,7 @@
 		time.AfterFunc(wait, stop.endAnswering)
 		return
 	}
-	close(stop.answeringEnded)
+	stop.endsAnswering()
 	delay := max(0, time.Since(schedule.LastAnswer))
 	lastExit := schedule.LastExit.Add(delay)
 	time.AfterFunc(time.Until(schedule.Exit)+delay, func() { stop.endUnlessAdvancing(lastExit) })
@@ -179,7 +185,24 @@
 	if stop == nil {
 		return nil
 	}
-	return stop.answeringEnded
+	return stop.answering.Done()
+}
+
+// ErrStopping is the cause of a context that ends because the host stops.
+var ErrStopping = errors.New("the host stops")
+
+// UntilAnsweringEnded returns a context that ends with ctx, or with the cause
+// ErrStopping when answering ends. The caller has to call cancel.
+func (stop *Stop) UntilAnsweringEnded(ctx context.Context) (_ context.Context, cancel context.CancelFunc) {
+	if stop == nil {
+		return context.WithCancel(ctx)
+	}
+	ctx, cancelCause := context.WithCancelCause(ctx)
+	forget := context.AfterFunc(stop.answering, func() { cancelCause(ErrStopping) })
+	return ctx, func() {
+		forget()
+		cancelCause(nil)
+	}
 }
 
 // Exit returns a channel that is closed when the process has to end: at Exit, or
