shutdown, caller: name and comment what a newcomer would miss

No behaviour changes: cancelAnswering is what ends answering, the counter that no mutex guards stands apart, and the fields of a connection say which one does.

--- a/caller/conn.go
+++ b/caller/conn.go
@@ -10,7 +10,8 @@
 	"fescuehall/quota"
 )
 
-// limitedConn is a caller's connection that a Limiter counts.
+// limitedConn is a caller's connection that a Limiter counts. The Limiter's mutex guards
+// its fields.
 type limitedConn struct {
 	net.Conn
 	limiter *Limiter
@@ -199,6 +200,7 @@
 		return false
 	}
 	if conn.drained() {
+		// A pipelined request was buffered when the drain ended reads.
 		conn.resume()
 	}
 	conn.moveTo(&conn.limiter.busy)
--- a/caller/limiter.go
+++ b/caller/limiter.go
@@ -17,7 +17,7 @@
 // that are being read, so that callers that open connections and send slowly or
 // without end can't use up a host. To make room it closes connections without a
 // request in progress: first those that never had one, then the one that was
-// idle longest. Set the exported fields before use.
+// idle longest, and last those whose answer is on its way. Set the exported fields before use.
 type Limiter struct {
 	// MaxConns is the maximum number of open connections; 0 sets no limit.
 	MaxConns int
@@ -27,7 +27,8 @@
 	// to make room; it may be nil.
 	Closed func(remote string)
 	// Unanswered is called for each connection that this host closes although it has
-	// read a request from it that it has not answered; it may be nil.
+	// read a request from it that it has not answered; it may be nil. It must not call
+	// the Limiter.
 	Unanswered func(Unanswered)
 
 	mu   sync.Mutex
--- a/shutdown/shutdown.go
+++ b/shutdown/shutdown.go
@@ -90,14 +90,15 @@
 	sendingEnded chan struct{}
 	exit         chan struct{}
 	// answering ends at LastAnswer, or sooner.
-	answering     context.Context
-	endsAnswering context.CancelFunc
+	answering       context.Context
+	cancelAnswering context.CancelFunc
+
+	// awaiting is the number of requests that await replies.
+	awaiting atomic.Int64
 
 	mu       sync.Mutex
 	begun    bool
 	schedule Schedule
-	// awaiting is the number of requests that await replies.
-	awaiting atomic.Int64
 	// advancedAt is when an answer last advanced.
 	advancedAt time.Time
 }
@@ -105,7 +106,7 @@
 // New returns the Stop of a host that runs.
 func New() *Stop {
 	stop := &Stop{sendingEnded: make(chan struct{}), exit: make(chan struct{})}
-	stop.answering, stop.endsAnswering = context.WithCancel(context.Background())
+	stop.answering, stop.cancelAnswering = context.WithCancel(context.Background())
 	return stop
 }
 
@@ -121,8 +122,8 @@
 	time.AfterFunc(time.Until(schedule.FirstAnswer), stop.endAnswering)
 }
 
-// endAnswering closes answeringEnded at LastAnswer, or sooner by the time that the
-// answers to the requests that await replies take.
+// endAnswering ends answering at LastAnswer, or sooner by the time that the answers to
+// the requests that await replies take.
 func (stop *Stop) endAnswering() {
 	schedule := stop.schedule
 	cost := time.Duration(stop.awaiting.Load()) * answerCost
@@ -130,7 +131,7 @@
 		time.AfterFunc(wait, stop.endAnswering)
 		return
 	}
-	stop.endsAnswering()
+	stop.cancelAnswering()
 	delay := max(0, time.Since(schedule.LastAnswer))
 	lastExit := schedule.LastExit.Add(delay)
 	time.AfterFunc(time.Until(schedule.Exit)+delay, func() { stop.endUnlessAdvancing(lastExit) })
