message, route: add the types that the new parts share

Cause: keys, allowances, evacuation, homes and shared measurements all need fields in the messages between hosts, in the table of routes and in the settings. Agreed first, they let these parts be built side by side. Change: AllowanceAsk, AllowanceGrant and Estimate; FeedNews holds evacuated domains, GatherRequest the workspace and homes, ListedHost whether a host answers an AllowanceAsk, since hosts of earlier releases close a connection on which they receive an unknown frame. A request's rank is its workspace's, if that has one. Result: nothing sets the new fields yet; go test ./route ./dispatch ./peer ./feed passes.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -27,10 +27,12 @@
 // Request is one request of a caller, received from the caller itself or from
 // another host on its behalf.
 type Request struct {
-	ID      string
-	Route   *route.Route
-	Version uint64
-	Content *exchange.Request
+	ID    string
+	Route *route.Route
+	// Workspace is the workspace that sent the request, nil if it has none.
+	Workspace *route.Workspace
+	Version   uint64
+	Content   *exchange.Request
 	// Received is when the request's header was read.
 	Received time.Time
 	// Pauses is the number of pauses of this process before the request was
@@ -49,6 +51,15 @@
 	Report func(*Answer)
 }
 
+// Rank returns the rank of the request: that of its workspace, if it has one, or
+// else that of its route.
+func (request *Request) Rank() int {
+	if request.Workspace != nil && request.Workspace.Ranked {
+		return request.Workspace.Rank
+	}
+	return request.Route.Rank
+}
+
 // fromPeer reports whether another host sent the request on behalf of its
 // caller.
 func (request *Request) fromPeer() bool {
@@ -290,12 +301,12 @@
 func (dispatcher *Dispatcher) trackTarget(throttle *rank.Throttle, run *run) (done func()) {
 	route := run.request.Route
 	if route.LatencyTarget == 0 {
-		return func() { throttle.RecordResult(route.Rank, run.inTime) }
+		return func() { throttle.RecordResult(run.request.Rank(), run.inTime) }
 	}
-	targetTimer := time.AfterFunc(time.Until(run.request.Received.Add(route.LatencyTarget)), func() { throttle.RecordResult(route.Rank, false) })
+	targetTimer := time.AfterFunc(time.Until(run.request.Received.Add(route.LatencyTarget)), func() { throttle.RecordResult(run.request.Rank(), false) })
 	return func() {
 		if targetTimer.Stop() {
-			throttle.RecordResult(route.Rank, run.inTime)
+			throttle.RecordResult(run.request.Rank(), run.inTime)
 		}
 	}
 }
@@ -310,7 +321,7 @@
 	// The peer has already admitted a request that it sends here.
 	if !request.fromPeer() {
 		throttle := dispatcher.throttle(run.parts[0].service)
-		if admitted, refusalProbability := throttle.Admit(request.Route.Rank); !admitted {
+		if admitted, refusalProbability := throttle.Admit(request.Rank()); !admitted {
 			return run.refuse(refusalProbability)
 		}
 		defer dispatcher.trackTarget(throttle, run)()
--- a/dispatch/result.go
+++ b/dispatch/result.go
@@ -23,7 +23,7 @@
 	run.cancel()
 	answer := &Answer{Failure: verdict.New(verdict.NotRun, verdict.Overload, "too few requests are answered in time"), RetryAfter: overloadRetryAfter}
 	run.observe("refused", time.Now())
-	run.dispatcher.Event("refused", logbook.Fields{"id": run.request.ID, "route": run.request.Route.Name, "rank": run.request.Route.Rank, "version": run.request.Version, "chance": refusalProbability})
+	run.dispatcher.Event("refused", logbook.Fields{"id": run.request.ID, "route": run.request.Route.Name, "rank": run.request.Rank(), "version": run.request.Version, "chance": refusalProbability})
 	return answer
 }
 
@@ -51,7 +51,7 @@
 func (run *run) refuseIsolated() *Answer {
 	run.cancel()
 	run.observe("cut off", time.Now())
-	run.dispatcher.Event("cut off", logbook.Fields{"id": run.request.ID, "route": run.request.Route.Name, "rank": run.request.Route.Rank, "version": run.request.Version})
+	run.dispatcher.Event("cut off", logbook.Fields{"id": run.request.ID, "route": run.request.Route.Name, "rank": run.request.Rank(), "version": run.request.Version})
 	return &Answer{Failure: verdict.New(verdict.NotRun, verdict.Unreachable, "no other failure domain can be reached"), RetryAfter: isolatedRetryAfter}
 }
 
@@ -65,7 +65,7 @@
 func (run *run) refuseUnservable() *Answer {
 	run.cancel()
 	run.observe("unservable", time.Now())
-	run.dispatcher.Event("unservable", logbook.Fields{"id": run.request.ID, "route": run.request.Route.Name, "rank": run.request.Route.Rank, "version": run.request.Version})
+	run.dispatcher.Event("unservable", logbook.Fields{"id": run.request.ID, "route": run.request.Route.Name, "rank": run.request.Rank(), "version": run.request.Version})
 	return &Answer{Failure: verdict.New(verdict.NotRun, verdict.NoReplica, "too few shards have a replica that accepts requests"), RetryAfter: unservableRetryAfter}
 }
 
@@ -73,7 +73,7 @@
 func (run *run) refuseStopping() *Answer {
 	run.cancel()
 	run.observe("stopping", time.Now())
-	run.dispatcher.Event("stopping", logbook.Fields{"id": run.request.ID, "route": run.request.Route.Name, "rank": run.request.Route.Rank, "version": run.request.Version})
+	run.dispatcher.Event("stopping", logbook.Fields{"id": run.request.ID, "route": run.request.Route.Name, "rank": run.request.Rank(), "version": run.request.Version})
 	return &Answer{Failure: verdict.New(verdict.NotRun, verdict.Stopping, "this host stops"), RetryAfter: run.stoppingRetryAfter()}
 }
 
@@ -86,7 +86,7 @@
 		rankStep = 150 * time.Millisecond
 		maxRank  = 3
 	)
-	steps := float64(min(run.request.Route.Rank, maxRank)) + run.dispatcher.Random()
+	steps := float64(min(run.request.Rank(), maxRank)) + run.dispatcher.Random()
 	return minDelay + time.Duration(steps*float64(rankStep))
 }
 
@@ -173,7 +173,7 @@
 	fields := logbook.Fields{
 		"id":      run.request.ID,
 		"route":   run.request.Route.Name,
-		"rank":    run.request.Route.Rank,
+		"rank":    run.request.Rank(),
 		"version": run.request.Version,
 		"took_ms": float64(now.Sub(run.request.Received).Microseconds()) / 1000,
 		"left_ms": run.request.Deadline.Sub(now).Milliseconds(),
@@ -216,7 +216,7 @@
 	}
 	run.dispatcher.Observe(metric.Request{
 		Route:         run.request.Route.Name,
-		Rank:          run.request.Route.Rank,
+		Rank:          run.request.Rank(),
 		Outcome:       outcome,
 		ShardsLeftOut: len(run.parts) - run.answered,
 		Hedges:        run.hedges,
--- a/frame/frame.go
+++ b/frame/frame.go
@@ -34,7 +34,9 @@
 	FeedNews
 	Probe
 	ProbeReply
-	lastType = ProbeReply
+	AllowanceAsk
+	AllowanceGrant
+	lastType = AllowanceGrant
 )
 
 // Frame is a message. A reply has the Correlation of its request, which is
--- a/message/message.go
+++ b/message/message.go
@@ -2,6 +2,38 @@
 
 package message
 
+// AllowanceAsk asks another host for tokens of a limit that all hosts share.
+type AllowanceAsk struct {
+	// Failure domain of the asking host.
+	FailureDomain string `json:"FailureDomain"`
+
+	// Name of the limit, with its kind.
+	Limit string `json:"Limit"`
+
+	// Number of tokens that the asking host wants.
+	Tokens float64 `json:"Tokens"`
+
+	// Version of the configuration that the asking host takes the limit from.
+	Version uint64 `json:"Version"`
+}
+
+// AllowanceGrant is the reply to an AllowanceAsk. The tokens are moved: the
+// granting host no longer has them, even if the reply is lost.
+type AllowanceGrant struct {
+	// Time after which the tokens are void, in microseconds since the ask was sent.
+	ExpiryMicros int64 `json:"ExpiryMicros"`
+
+	// Time until the granting host has a token again, in microseconds, 0 if it has
+	// one.
+	NextMicros int64 `json:"NextMicros"`
+
+	// Whether the asked host does not keep the limit.
+	Refused bool `json:"Refused"`
+
+	// Number of tokens granted.
+	Tokens float64 `json:"Tokens"`
+}
+
 // Cancel cancels an earlier request on the same connection.
 type Cancel struct {
 	// Correlation number of the frame of that request.
@@ -34,9 +66,27 @@
 	Have uint64 `json:"Have"`
 }
 
+// Estimate is what a host measured of one replica.
+type Estimate struct {
+	// Age of the latest sample, in milliseconds.
+	AgeMillis int64 `json:"AgeMillis"`
+
+	// Average time of its replies, in microseconds.
+	LatencyMicros int64 `json:"LatencyMicros"`
+
+	// ID of the replica.
+	Name string `json:"Name"`
+
+	// Number of requests that waited at the replica by its last report.
+	Waiting int `json:"Waiting"`
+}
+
 // FeedFetch asks a host that reads the store for what has changed in the
 // configuration and in the lists of replicas and hosts.
 type FeedFetch struct {
+	// What the sending host, and those that told it, measured of replicas.
+	Estimates []Estimate `json:"Estimates"`
+
 	// Maximum size of the part of a configuration that the reply may contain, 0 for a
 	// whole one.
 	MaxConfigBytes int64 `json:"MaxConfigBytes"`
@@ -79,6 +129,16 @@
 	// Size of that configuration, in bytes.
 	ConfigBytes int64 `json:"ConfigBytes"`
 
+	// What the sending host, and those that told it, measured of replicas.
+	Estimates []Estimate `json:"Estimates"`
+
+	// Failure domains whose replicas get no requests.
+	Evacuated []string `json:"Evacuated"`
+
+	// Whether Evacuated is known. It is as old as the confirmation of the
+	// configuration.
+	EvacuationsKnown bool `json:"EvacuationsKnown"`
+
 	// IDs of the replicas that were removed since the requesting host's lists.
 	Gone []string `json:"Gone"`
 
@@ -155,6 +215,9 @@
 	// HTTP header to send to the replicas.
 	Header []HeaderField `json:"Header"`
 
+	// Regions whose hosts and replicas may get the request, empty for all.
+	Homes []string `json:"Homes"`
+
 	// HTTP host that the caller requested.
 	Host string `json:"Host"`
 
@@ -188,6 +251,9 @@
 
 	// Maximum number of records.
 	TopK int `json:"TopK"`
+
+	// Name of the workspace that sent the request, empty if there is none.
+	Workspace string `json:"Workspace"`
 }
 
 // Gossip is a membership datagram.
@@ -234,6 +300,10 @@
 	// Failure domain of the host.
 	FailureDomain string `json:"FailureDomain"`
 
+	// Whether the host answers an AllowanceAsk. Hosts of earlier releases close a
+	// connection on which they receive one.
+	KeepsAllowances bool `json:"KeepsAllowances"`
+
 	// Host name.
 	Name string `json:"Name"`
 }
--- a/message/message_gen.go
+++ b/message/message_gen.go
@@ -6,6 +6,164 @@
 	"github.com/tinylib/msgp/msgp"
 )
 
+// MarshalMsg implements msgp.Marshaler
+func (z *AllowanceAsk) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 4
+	// string "FailureDomain"
+	o = append(o, 0x84, 0xad, 0x46, 0x61, 0x69, 0x6c, 0x75, 0x72, 0x65, 0x44, 0x6f, 0x6d, 0x61, 0x69, 0x6e)
+	o = msgp.AppendString(o, z.FailureDomain)
+	// string "Limit"
+	o = append(o, 0xa5, 0x4c, 0x69, 0x6d, 0x69, 0x74)
+	o = msgp.AppendString(o, z.Limit)
+	// string "Tokens"
+	o = append(o, 0xa6, 0x54, 0x6f, 0x6b, 0x65, 0x6e, 0x73)
+	o = msgp.AppendFloat64(o, z.Tokens)
+	// string "Version"
+	o = append(o, 0xa7, 0x56, 0x65, 0x72, 0x73, 0x69, 0x6f, 0x6e)
+	o = msgp.AppendUint64(o, z.Version)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *AllowanceAsk) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "FailureDomain":
+			z.FailureDomain, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "FailureDomain")
+				return
+			}
+		case "Limit":
+			z.Limit, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Limit")
+				return
+			}
+		case "Tokens":
+			z.Tokens, bts, err = msgp.ReadFloat64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Tokens")
+				return
+			}
+		case "Version":
+			z.Version, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Version")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *AllowanceAsk) Msgsize() (s int) {
+	s = 1 + 14 + msgp.StringPrefixSize + len(z.FailureDomain) + 6 + msgp.StringPrefixSize + len(z.Limit) + 7 + msgp.Float64Size + 8 + msgp.Uint64Size
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *AllowanceGrant) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 4
+	// string "ExpiryMicros"
+	o = append(o, 0x84, 0xac, 0x45, 0x78, 0x70, 0x69, 0x72, 0x79, 0x4d, 0x69, 0x63, 0x72, 0x6f, 0x73)
+	o = msgp.AppendInt64(o, z.ExpiryMicros)
+	// string "NextMicros"
+	o = append(o, 0xaa, 0x4e, 0x65, 0x78, 0x74, 0x4d, 0x69, 0x63, 0x72, 0x6f, 0x73)
+	o = msgp.AppendInt64(o, z.NextMicros)
+	// string "Refused"
+	o = append(o, 0xa7, 0x52, 0x65, 0x66, 0x75, 0x73, 0x65, 0x64)
+	o = msgp.AppendBool(o, z.Refused)
+	// string "Tokens"
+	o = append(o, 0xa6, 0x54, 0x6f, 0x6b, 0x65, 0x6e, 0x73)
+	o = msgp.AppendFloat64(o, z.Tokens)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *AllowanceGrant) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "ExpiryMicros":
+			z.ExpiryMicros, bts, err = msgp.ReadInt64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "ExpiryMicros")
+				return
+			}
+		case "NextMicros":
+			z.NextMicros, bts, err = msgp.ReadInt64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "NextMicros")
+				return
+			}
+		case "Refused":
+			z.Refused, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Refused")
+				return
+			}
+		case "Tokens":
+			z.Tokens, bts, err = msgp.ReadFloat64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Tokens")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *AllowanceGrant) Msgsize() (s int) {
+	s = 1 + 13 + msgp.Int64Size + 11 + msgp.Int64Size + 8 + msgp.BoolSize + 7 + msgp.Float64Size
+	return
+}
+
 // MarshalMsg implements msgp.Marshaler
 func (z Cancel) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
@@ -282,12 +440,101 @@
 	return
 }
 
+// MarshalMsg implements msgp.Marshaler
+func (z *Estimate) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 4
+	// string "AgeMillis"
+	o = append(o, 0x84, 0xa9, 0x41, 0x67, 0x65, 0x4d, 0x69, 0x6c, 0x6c, 0x69, 0x73)
+	o = msgp.AppendInt64(o, z.AgeMillis)
+	// string "LatencyMicros"
+	o = append(o, 0xad, 0x4c, 0x61, 0x74, 0x65, 0x6e, 0x63, 0x79, 0x4d, 0x69, 0x63, 0x72, 0x6f, 0x73)
+	o = msgp.AppendInt64(o, z.LatencyMicros)
+	// string "Name"
+	o = append(o, 0xa4, 0x4e, 0x61, 0x6d, 0x65)
+	o = msgp.AppendString(o, z.Name)
+	// string "Waiting"
+	o = append(o, 0xa7, 0x57, 0x61, 0x69, 0x74, 0x69, 0x6e, 0x67)
+	o = msgp.AppendInt(o, z.Waiting)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *Estimate) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "AgeMillis":
+			z.AgeMillis, bts, err = msgp.ReadInt64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "AgeMillis")
+				return
+			}
+		case "LatencyMicros":
+			z.LatencyMicros, bts, err = msgp.ReadInt64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "LatencyMicros")
+				return
+			}
+		case "Name":
+			z.Name, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Name")
+				return
+			}
+		case "Waiting":
+			z.Waiting, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Waiting")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *Estimate) Msgsize() (s int) {
+	s = 1 + 10 + msgp.Int64Size + 14 + msgp.Int64Size + 5 + msgp.StringPrefixSize + len(z.Name) + 8 + msgp.IntSize
+	return
+}
+
 // MarshalMsg implements msgp.Marshaler
 func (z *FeedFetch) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 7
+	// map header, size 8
+	// string "Estimates"
+	o = append(o, 0x88, 0xa9, 0x45, 0x73, 0x74, 0x69, 0x6d, 0x61, 0x74, 0x65, 0x73)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Estimates)))
+	for za0001 := range z.Estimates {
+		o, err = z.Estimates[za0001].MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "Estimates", za0001)
+			return
+		}
+	}
 	// string "MaxConfigBytes"
-	o = append(o, 0x87, 0xae, 0x4d, 0x61, 0x78, 0x43, 0x6f, 0x6e, 0x66, 0x69, 0x67, 0x42, 0x79, 0x74, 0x65, 0x73)
+	o = append(o, 0xae, 0x4d, 0x61, 0x78, 0x43, 0x6f, 0x6e, 0x66, 0x69, 0x67, 0x42, 0x79, 0x74, 0x65, 0x73)
 	o = msgp.AppendInt64(o, z.MaxConfigBytes)
 	// string "PartOffset"
 	o = append(o, 0xaa, 0x50, 0x61, 0x72, 0x74, 0x4f, 0x66, 0x66, 0x73, 0x65, 0x74)
@@ -304,10 +551,10 @@
 	// string "Streaks"
 	o = append(o, 0xa7, 0x53, 0x74, 0x72, 0x65, 0x61, 0x6b, 0x73)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Streaks)))
-	for za0001 := range z.Streaks {
-		o, err = z.Streaks[za0001].MarshalMsg(o)
+	for za0002 := range z.Streaks {
+		o, err = z.Streaks[za0002].MarshalMsg(o)
 		if err != nil {
-			err = msgp.WrapError(err, "Streaks", za0001)
+			err = msgp.WrapError(err, "Streaks", za0002)
 			return
 		}
 	}
@@ -335,6 +582,25 @@
 			return
 		}
 		switch msgp.UnsafeString(field) {
+		case "Estimates":
+			var zb0002 uint32
+			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Estimates")
+				return
+			}
+			if cap(z.Estimates) >= int(zb0002) {
+				z.Estimates = (z.Estimates)[:zb0002]
+			} else {
+				z.Estimates = make([]Estimate, zb0002)
+			}
+			for za0001 := range z.Estimates {
+				bts, err = z.Estimates[za0001].UnmarshalMsg(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Estimates", za0001)
+					return
+				}
+			}
 		case "MaxConfigBytes":
 			z.MaxConfigBytes, bts, err = msgp.ReadInt64Bytes(bts)
 			if err != nil {
@@ -366,21 +632,21 @@
 				return
 			}
 		case "Streaks":
-			var zb0002 uint32
-			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			var zb0003 uint32
+			zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
 			if err != nil {
 				err = msgp.WrapError(err, "Streaks")
 				return
 			}
-			if cap(z.Streaks) >= int(zb0002) {
-				z.Streaks = (z.Streaks)[:zb0002]
+			if cap(z.Streaks) >= int(zb0003) {
+				z.Streaks = (z.Streaks)[:zb0003]
 			} else {
-				z.Streaks = make([]Streak, zb0002)
+				z.Streaks = make([]Streak, zb0003)
 			}
-			for za0001 := range z.Streaks {
-				bts, err = z.Streaks[za0001].UnmarshalMsg(bts)
+			for za0002 := range z.Streaks {
+				bts, err = z.Streaks[za0002].UnmarshalMsg(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "Streaks", za0001)
+					err = msgp.WrapError(err, "Streaks", za0002)
 					return
 				}
 			}
@@ -404,9 +670,13 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *FeedFetch) Msgsize() (s int) {
-	s = 1 + 15 + msgp.Int64Size + 11 + msgp.Int64Size + 12 + msgp.Uint64Size + 9 + msgp.Uint64Size + 7 + msgp.StringPrefixSize + len(z.Source) + 8 + msgp.ArrayHeaderSize
-	for za0001 := range z.Streaks {
-		s += z.Streaks[za0001].Msgsize()
+	s = 1 + 10 + msgp.ArrayHeaderSize
+	for za0001 := range z.Estimates {
+		s += z.Estimates[za0001].Msgsize()
+	}
+	s += 15 + msgp.Int64Size + 11 + msgp.Int64Size + 12 + msgp.Uint64Size + 9 + msgp.Uint64Size + 7 + msgp.StringPrefixSize + len(z.Source) + 8 + msgp.ArrayHeaderSize
+	for za0002 := range z.Streaks {
+		s += z.Streaks[za0002].Msgsize()
 	}
 	s += 8 + msgp.Uint64Size
 	return
@@ -415,9 +685,9 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *FeedNews) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 16
+	// map header, size 19
 	// string "AgeMicros"
-	o = append(o, 0xde, 0x0, 0x10, 0xa9, 0x41, 0x67, 0x65, 0x4d, 0x69, 0x63, 0x72, 0x6f, 0x73)
+	o = append(o, 0xde, 0x0, 0x13, 0xa9, 0x41, 0x67, 0x65, 0x4d, 0x69, 0x63, 0x72, 0x6f, 0x73)
 	o = msgp.AppendInt64(o, z.AgeMicros)
 	// string "Config"
 	o = append(o, 0xa6, 0x43, 0x6f, 0x6e, 0x66, 0x69, 0x67)
@@ -428,19 +698,38 @@
 	// string "ConfigBytes"
 	o = append(o, 0xab, 0x43, 0x6f, 0x6e, 0x66, 0x69, 0x67, 0x42, 0x79, 0x74, 0x65, 0x73)
 	o = msgp.AppendInt64(o, z.ConfigBytes)
+	// string "Estimates"
+	o = append(o, 0xa9, 0x45, 0x73, 0x74, 0x69, 0x6d, 0x61, 0x74, 0x65, 0x73)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Estimates)))
+	for za0001 := range z.Estimates {
+		o, err = z.Estimates[za0001].MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "Estimates", za0001)
+			return
+		}
+	}
+	// string "Evacuated"
+	o = append(o, 0xa9, 0x45, 0x76, 0x61, 0x63, 0x75, 0x61, 0x74, 0x65, 0x64)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Evacuated)))
+	for za0002 := range z.Evacuated {
+		o = msgp.AppendString(o, z.Evacuated[za0002])
+	}
+	// string "EvacuationsKnown"
+	o = append(o, 0xb0, 0x45, 0x76, 0x61, 0x63, 0x75, 0x61, 0x74, 0x69, 0x6f, 0x6e, 0x73, 0x4b, 0x6e, 0x6f, 0x77, 0x6e)
+	o = msgp.AppendBool(o, z.EvacuationsKnown)
 	// string "Gone"
 	o = append(o, 0xa4, 0x47, 0x6f, 0x6e, 0x65)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Gone)))
-	for za0001 := range z.Gone {
-		o = msgp.AppendString(o, z.Gone[za0001])
+	for za0003 := range z.Gone {
+		o = msgp.AppendString(o, z.Gone[za0003])
 	}
 	// string "Hosts"
 	o = append(o, 0xa5, 0x48, 0x6f, 0x73, 0x74, 0x73)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Hosts)))
-	for za0002 := range z.Hosts {
-		o, err = z.Hosts[za0002].MarshalMsg(o)
+	for za0004 := range z.Hosts {
+		o, err = z.Hosts[za0004].MarshalMsg(o)
 		if err != nil {
-			err = msgp.WrapError(err, "Hosts", za0002)
+			err = msgp.WrapError(err, "Hosts", za0004)
 			return
 		}
 	}
@@ -456,10 +745,10 @@
 	// string "Replicas"
 	o = append(o, 0xa8, 0x52, 0x65, 0x70, 0x6c, 0x69, 0x63, 0x61, 0x73)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Replicas)))
-	for za0003 := range z.Replicas {
-		o, err = z.Replicas[za0003].MarshalMsg(o)
+	for za0005 := range z.Replicas {
+		o, err = z.Replicas[za0005].MarshalMsg(o)
 		if err != nil {
-			err = msgp.WrapError(err, "Replicas", za0003)
+			err = msgp.WrapError(err, "Replicas", za0005)
 			return
 		}
 	}
@@ -472,10 +761,10 @@
 	// string "Streaks"
 	o = append(o, 0xa7, 0x53, 0x74, 0x72, 0x65, 0x61, 0x6b, 0x73)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Streaks)))
-	for za0004 := range z.Streaks {
-		o, err = z.Streaks[za0004].MarshalMsg(o)
+	for za0006 := range z.Streaks {
+		o, err = z.Streaks[za0006].MarshalMsg(o)
 		if err != nil {
-			err = msgp.WrapError(err, "Streaks", za0004)
+			err = msgp.WrapError(err, "Streaks", za0006)
 			return
 		}
 	}
@@ -533,41 +822,85 @@
 				err = msgp.WrapError(err, "ConfigBytes")
 				return
 			}
-		case "Gone":
+		case "Estimates":
 			var zb0002 uint32
 			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Gone")
+				err = msgp.WrapError(err, "Estimates")
 				return
 			}
-			if cap(z.Gone) >= int(zb0002) {
-				z.Gone = (z.Gone)[:zb0002]
+			if cap(z.Estimates) >= int(zb0002) {
+				z.Estimates = (z.Estimates)[:zb0002]
 			} else {
-				z.Gone = make([]string, zb0002)
+				z.Estimates = make([]Estimate, zb0002)
 			}
-			for za0001 := range z.Gone {
-				z.Gone[za0001], bts, err = msgp.ReadStringBytes(bts)
+			for za0001 := range z.Estimates {
+				bts, err = z.Estimates[za0001].UnmarshalMsg(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "Gone", za0001)
+					err = msgp.WrapError(err, "Estimates", za0001)
 					return
 				}
 			}
-		case "Hosts":
+		case "Evacuated":
 			var zb0003 uint32
 			zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Evacuated")
+				return
+			}
+			if cap(z.Evacuated) >= int(zb0003) {
+				z.Evacuated = (z.Evacuated)[:zb0003]
+			} else {
+				z.Evacuated = make([]string, zb0003)
+			}
+			for za0002 := range z.Evacuated {
+				z.Evacuated[za0002], bts, err = msgp.ReadStringBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Evacuated", za0002)
+					return
+				}
+			}
+		case "EvacuationsKnown":
+			z.EvacuationsKnown, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "EvacuationsKnown")
+				return
+			}
+		case "Gone":
+			var zb0004 uint32
+			zb0004, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Gone")
+				return
+			}
+			if cap(z.Gone) >= int(zb0004) {
+				z.Gone = (z.Gone)[:zb0004]
+			} else {
+				z.Gone = make([]string, zb0004)
+			}
+			for za0003 := range z.Gone {
+				z.Gone[za0003], bts, err = msgp.ReadStringBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Gone", za0003)
+					return
+				}
+			}
+		case "Hosts":
+			var zb0005 uint32
+			zb0005, bts, err = msgp.ReadArrayHeaderBytes(bts)
 			if err != nil {
 				err = msgp.WrapError(err, "Hosts")
 				return
 			}
-			if cap(z.Hosts) >= int(zb0003) {
-				z.Hosts = (z.Hosts)[:zb0003]
+			if cap(z.Hosts) >= int(zb0005) {
+				z.Hosts = (z.Hosts)[:zb0005]
 			} else {
-				z.Hosts = make([]ListedHost, zb0003)
+				z.Hosts = make([]ListedHost, zb0005)
 			}
-			for za0002 := range z.Hosts {
-				bts, err = z.Hosts[za0002].UnmarshalMsg(bts)
+			for za0004 := range z.Hosts {
+				bts, err = z.Hosts[za0004].UnmarshalMsg(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "Hosts", za0002)
+					err = msgp.WrapError(err, "Hosts", za0004)
 					return
 				}
 			}
@@ -590,21 +923,21 @@
 				return
 			}
 		case "Replicas":
-			var zb0004 uint32
-			zb0004, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			var zb0006 uint32
+			zb0006, bts, err = msgp.ReadArrayHeaderBytes(bts)
 			if err != nil {
 				err = msgp.WrapError(err, "Replicas")
 				return
 			}
-			if cap(z.Replicas) >= int(zb0004) {
-				z.Replicas = (z.Replicas)[:zb0004]
+			if cap(z.Replicas) >= int(zb0006) {
+				z.Replicas = (z.Replicas)[:zb0006]
 			} else {
-				z.Replicas = make([]ListedReplica, zb0004)
+				z.Replicas = make([]ListedReplica, zb0006)
 			}
-			for za0003 := range z.Replicas {
-				bts, err = z.Replicas[za0003].UnmarshalMsg(bts)
+			for za0005 := range z.Replicas {
+				bts, err = z.Replicas[za0005].UnmarshalMsg(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "Replicas", za0003)
+					err = msgp.WrapError(err, "Replicas", za0005)
 					return
 				}
 			}
@@ -621,21 +954,21 @@
 				return
 			}
 		case "Streaks":
-			var zb0005 uint32
-			zb0005, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			var zb0007 uint32
+			zb0007, bts, err = msgp.ReadArrayHeaderBytes(bts)
 			if err != nil {
 				err = msgp.WrapError(err, "Streaks")
 				return
 			}
-			if cap(z.Streaks) >= int(zb0005) {
-				z.Streaks = (z.Streaks)[:zb0005]
+			if cap(z.Streaks) >= int(zb0007) {
+				z.Streaks = (z.Streaks)[:zb0007]
 			} else {
-				z.Streaks = make([]Streak, zb0005)
+				z.Streaks = make([]Streak, zb0007)
 			}
-			for za0004 := range z.Streaks {
-				bts, err = z.Streaks[za0004].UnmarshalMsg(bts)
+			for za0006 := range z.Streaks {
+				bts, err = z.Streaks[za0006].UnmarshalMsg(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "Streaks", za0004)
+					err = msgp.WrapError(err, "Streaks", za0006)
 					return
 				}
 			}
@@ -671,21 +1004,29 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *FeedNews) Msgsize() (s int) {
-	s = 3 + 10 + msgp.Int64Size + 7 + msgp.BytesPrefixSize + len(z.Config) + 16 + msgp.Int64Size + 12 + msgp.Int64Size + 5 + msgp.ArrayHeaderSize
-	for za0001 := range z.Gone {
-		s += msgp.StringPrefixSize + len(z.Gone[za0001])
+	s = 3 + 10 + msgp.Int64Size + 7 + msgp.BytesPrefixSize + len(z.Config) + 16 + msgp.Int64Size + 12 + msgp.Int64Size + 10 + msgp.ArrayHeaderSize
+	for za0001 := range z.Estimates {
+		s += z.Estimates[za0001].Msgsize()
+	}
+	s += 10 + msgp.ArrayHeaderSize
+	for za0002 := range z.Evacuated {
+		s += msgp.StringPrefixSize + len(z.Evacuated[za0002])
+	}
+	s += 17 + msgp.BoolSize + 5 + msgp.ArrayHeaderSize
+	for za0003 := range z.Gone {
+		s += msgp.StringPrefixSize + len(z.Gone[za0003])
 	}
 	s += 6 + msgp.ArrayHeaderSize
-	for za0002 := range z.Hosts {
-		s += z.Hosts[za0002].Msgsize()
+	for za0004 := range z.Hosts {
+		s += z.Hosts[za0004].Msgsize()
 	}
 	s += 13 + msgp.BoolSize + 11 + msgp.Int64Size + 12 + msgp.Uint64Size + 9 + msgp.ArrayHeaderSize
-	for za0003 := range z.Replicas {
-		s += z.Replicas[za0003].Msgsize()
+	for za0005 := range z.Replicas {
+		s += z.Replicas[za0005].Msgsize()
 	}
 	s += 9 + msgp.Uint64Size + 7 + msgp.StringPrefixSize + len(z.Source) + 8 + msgp.ArrayHeaderSize
-	for za0004 := range z.Streaks {
-		s += z.Streaks[za0004].Msgsize()
+	for za0006 := range z.Streaks {
+		s += z.Streaks[za0006].Msgsize()
 	}
 	s += 10 + msgp.BoolSize + 8 + msgp.Uint64Size + 6 + msgp.BoolSize
 	return
@@ -820,9 +1161,9 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *GatherRequest) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 14
+	// map header, size 16
 	// string "Body"
-	o = append(o, 0x8e, 0xa4, 0x42, 0x6f, 0x64, 0x79)
+	o = append(o, 0xde, 0x0, 0x10, 0xa4, 0x42, 0x6f, 0x64, 0x79)
 	o = msgp.AppendBytes(o, z.Body)
 	// string "ElapsedMicros"
 	o = append(o, 0xad, 0x45, 0x6c, 0x61, 0x70, 0x73, 0x65, 0x64, 0x4d, 0x69, 0x63, 0x72, 0x6f, 0x73)
@@ -839,6 +1180,12 @@
 		o = append(o, 0xa5, 0x56, 0x61, 0x6c, 0x75, 0x65)
 		o = msgp.AppendString(o, z.Header[za0001].Value)
 	}
+	// string "Homes"
+	o = append(o, 0xa5, 0x48, 0x6f, 0x6d, 0x65, 0x73)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Homes)))
+	for za0002 := range z.Homes {
+		o = msgp.AppendString(o, z.Homes[za0002])
+	}
 	// string "Host"
 	o = append(o, 0xa4, 0x48, 0x6f, 0x73, 0x74)
 	o = msgp.AppendString(o, z.Host)
@@ -863,8 +1210,8 @@
 	// string "Shards"
 	o = append(o, 0xa6, 0x53, 0x68, 0x61, 0x72, 0x64, 0x73)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Shards)))
-	for za0002 := range z.Shards {
-		o = msgp.AppendString(o, z.Shards[za0002])
+	for za0003 := range z.Shards {
+		o = msgp.AppendString(o, z.Shards[za0003])
 	}
 	// string "Target"
 	o = append(o, 0xa6, 0x54, 0x61, 0x72, 0x67, 0x65, 0x74)
@@ -875,6 +1222,9 @@
 	// string "TopK"
 	o = append(o, 0xa4, 0x54, 0x6f, 0x70, 0x4b)
 	o = msgp.AppendInt(o, z.TopK)
+	// string "Workspace"
+	o = append(o, 0xa9, 0x57, 0x6f, 0x72, 0x6b, 0x73, 0x70, 0x61, 0x63, 0x65)
+	o = msgp.AppendString(o, z.Workspace)
 	return
 }
 
@@ -956,6 +1306,25 @@
 					}
 				}
 			}
+		case "Homes":
+			var zb0004 uint32
+			zb0004, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Homes")
+				return
+			}
+			if cap(z.Homes) >= int(zb0004) {
+				z.Homes = (z.Homes)[:zb0004]
+			} else {
+				z.Homes = make([]string, zb0004)
+			}
+			for za0002 := range z.Homes {
+				z.Homes[za0002], bts, err = msgp.ReadStringBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Homes", za0002)
+					return
+				}
+			}
 		case "Host":
 			z.Host, bts, err = msgp.ReadStringBytes(bts)
 			if err != nil {
@@ -999,21 +1368,21 @@
 				return
 			}
 		case "Shards":
-			var zb0004 uint32
-			zb0004, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			var zb0005 uint32
+			zb0005, bts, err = msgp.ReadArrayHeaderBytes(bts)
 			if err != nil {
 				err = msgp.WrapError(err, "Shards")
 				return
 			}
-			if cap(z.Shards) >= int(zb0004) {
-				z.Shards = (z.Shards)[:zb0004]
+			if cap(z.Shards) >= int(zb0005) {
+				z.Shards = (z.Shards)[:zb0005]
 			} else {
-				z.Shards = make([]string, zb0004)
+				z.Shards = make([]string, zb0005)
 			}
-			for za0002 := range z.Shards {
-				z.Shards[za0002], bts, err = msgp.ReadStringBytes(bts)
+			for za0003 := range z.Shards {
+				z.Shards[za0003], bts, err = msgp.ReadStringBytes(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "Shards", za0002)
+					err = msgp.WrapError(err, "Shards", za0003)
 					return
 				}
 			}
@@ -1035,6 +1404,12 @@
 				err = msgp.WrapError(err, "TopK")
 				return
 			}
+		case "Workspace":
+			z.Workspace, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Workspace")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -1049,15 +1424,19 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *GatherRequest) Msgsize() (s int) {
-	s = 1 + 5 + msgp.BytesPrefixSize + len(z.Body) + 14 + msgp.Int64Size + 7 + msgp.ArrayHeaderSize
+	s = 3 + 5 + msgp.BytesPrefixSize + len(z.Body) + 14 + msgp.Int64Size + 7 + msgp.ArrayHeaderSize
 	for za0001 := range z.Header {
 		s += 1 + 5 + msgp.StringPrefixSize + len(z.Header[za0001].Name) + 6 + msgp.StringPrefixSize + len(z.Header[za0001].Value)
 	}
+	s += 6 + msgp.ArrayHeaderSize
+	for za0002 := range z.Homes {
+		s += msgp.StringPrefixSize + len(z.Homes[za0002])
+	}
 	s += 5 + msgp.StringPrefixSize + len(z.Host) + 11 + msgp.Int64Size + 9 + msgp.IntSize + 7 + msgp.StringPrefixSize + len(z.Method) + 5 + msgp.IntSize + 10 + msgp.StringPrefixSize + len(z.RequestID) + 6 + msgp.StringPrefixSize + len(z.Route) + 7 + msgp.ArrayHeaderSize
-	for za0002 := range z.Shards {
-		s += msgp.StringPrefixSize + len(z.Shards[za0002])
+	for za0003 := range z.Shards {
+		s += msgp.StringPrefixSize + len(z.Shards[za0003])
 	}
-	s += 7 + msgp.StringPrefixSize + len(z.Target) + 13 + msgp.Int64Size + 5 + msgp.IntSize
+	s += 7 + msgp.StringPrefixSize + len(z.Target) + 13 + msgp.Int64Size + 5 + msgp.IntSize + 10 + msgp.StringPrefixSize + len(z.Workspace)
 	return
 }
 
@@ -1283,9 +1662,9 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *ListedHost) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 4
+	// map header, size 5
 	// string "Address"
-	o = append(o, 0x84, 0xa7, 0x41, 0x64, 0x64, 0x72, 0x65, 0x73, 0x73)
+	o = append(o, 0x85, 0xa7, 0x41, 0x64, 0x64, 0x72, 0x65, 0x73, 0x73)
 	o = msgp.AppendString(o, z.Address)
 	// string "Cores"
 	o = append(o, 0xa5, 0x43, 0x6f, 0x72, 0x65, 0x73)
@@ -1293,6 +1672,9 @@
 	// string "FailureDomain"
 	o = append(o, 0xad, 0x46, 0x61, 0x69, 0x6c, 0x75, 0x72, 0x65, 0x44, 0x6f, 0x6d, 0x61, 0x69, 0x6e)
 	o = msgp.AppendString(o, z.FailureDomain)
+	// string "KeepsAllowances"
+	o = append(o, 0xaf, 0x4b, 0x65, 0x65, 0x70, 0x73, 0x41, 0x6c, 0x6c, 0x6f, 0x77, 0x61, 0x6e, 0x63, 0x65, 0x73)
+	o = msgp.AppendBool(o, z.KeepsAllowances)
 	// string "Name"
 	o = append(o, 0xa4, 0x4e, 0x61, 0x6d, 0x65)
 	o = msgp.AppendString(o, z.Name)
@@ -1335,6 +1717,12 @@
 				err = msgp.WrapError(err, "FailureDomain")
 				return
 			}
+		case "KeepsAllowances":
+			z.KeepsAllowances, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "KeepsAllowances")
+				return
+			}
 		case "Name":
 			z.Name, bts, err = msgp.ReadStringBytes(bts)
 			if err != nil {
@@ -1355,7 +1743,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *ListedHost) Msgsize() (s int) {
-	s = 1 + 8 + msgp.StringPrefixSize + len(z.Address) + 6 + msgp.Float64Size + 14 + msgp.StringPrefixSize + len(z.FailureDomain) + 5 + msgp.StringPrefixSize + len(z.Name)
+	s = 1 + 8 + msgp.StringPrefixSize + len(z.Address) + 6 + msgp.Float64Size + 14 + msgp.StringPrefixSize + len(z.FailureDomain) + 16 + msgp.BoolSize + 5 + msgp.StringPrefixSize + len(z.Name)
 	return
 }
 
--- a/peer/delegator.go
+++ b/peer/delegator.go
@@ -193,7 +193,7 @@
 	encoded := &message.GatherRequest{
 		RequestID:     request.ID,
 		Route:         route.Name,
-		Rank:          route.Rank,
+		Rank:          request.Rank(),
 		Shards:        bundle.Shards,
 		TopK:          route.TopK,
 		MaxTries:      route.MaxAttempts,
--- a/route/route.go
+++ b/route/route.go
@@ -44,6 +44,11 @@
 	// MinShardShare is the minimum fraction of Shards, 0 to 1, that a
 	// successful merged answer covers.
 	MinShardShare float64
+	// Public routes are open to callers without a key.
+	Public bool
+	// Homes are the regions whose hosts and replicas may get the route's requests,
+	// empty for all regions.
+	Homes []string
 }
 
 // Gathers reports whether answers are merged from shards.
@@ -101,6 +106,13 @@
 	// MaxConnections is the number of connections that one replica allows from
 	// all hosts together, 0 when unknown.
 	MaxConnections int
+	// HealthPath is the path of a replica's health endpoint, empty when unknown.
+	HealthPath string
+	// Warmup is how long a replica is cold after its start.
+	Warmup time.Duration
+	// WarmupRate is the number of requests a second that a cold replica tolerates
+	// from all hosts together, 0 when it has no such limit.
+	WarmupRate float64
 }
 
 // Limits are the limits on callers' requests and connections.
@@ -120,6 +132,10 @@
 
 	byHost map[string][]*Route
 	count  int
+	// workspaces maps the hashes of keys to their workspaces.
+	workspaces map[keyHash]*Workspace
+	// workspaceNames maps names to workspaces.
+	workspaceNames map[string]*Workspace
 }
 
 // NewTable returns a table of the given routes.
--- a/shard/shard.go
+++ b/shard/shard.go
@@ -18,6 +18,9 @@
 	// Cores is the number of processor cores that the host may use, 0 when
 	// unknown.
 	Cores float64
+	// KeepsAllowances is set when the host answers asks for tokens of limits that
+	// all hosts share. Hosts of earlier releases don't.
+	KeepsAllowances bool
 }
 
 // hashedHost is a host with the hash of its name.
