exchange: parse plain heads of responses without net/http

A reply with one Content-Length and ordinary fields, whose head is in the buffer, is parsed from one string. Every other head goes to http.ReadResponse as before.

--- a/exchange/conn.go
+++ b/exchange/conn.go
@@ -103,6 +103,20 @@
 func (conn *conn) read(request *Request) (*Response, bool, error) {
 	conn.source.memory = request.Memory
 	conn.source.startPhase("head", MaxHeadBytes, conn.reader.Buffered(), headExpansion)
+	plain, ok := readPlainHead(conn.reader, request.Method)
+	if !ok {
+		return conn.readUnusual(request)
+	}
+	body, err := conn.readKnownLength(conn.reader, plain.contentLength, request)
+	if err != nil {
+		return nil, false, cmp.Or(conn.source.err, err)
+	}
+	conn.idleDeadline = idleDeadline(plain.header, time.Now())
+	return &Response{Status: plain.status, Header: plain.header, Body: body}, true, nil
+}
+
+// readUnusual reads a response whose head is not plain.
+func (conn *conn) readUnusual(request *Request) (*Response, bool, error) {
 	response, err := http.ReadResponse(conn.reader, &http.Request{Method: request.Method})
 	if err != nil {
 		return nil, false, cmp.Or(conn.source.err, err)
@@ -139,29 +153,44 @@
 	return false
 }
 
-// readBody reads the body of a response. The memory for a body of known length
-// is reserved before it is read.
+// readBody reads the body of a response.
 func (conn *conn) readBody(response *http.Response, request *Request) ([]byte, error) {
 	if response.Body == http.NoBody {
 		return nil, nil
 	}
-	maxBytes := int64(cmp.Or(request.MaxBodyBytes, DefaultMaxBodyBytes))
-	if response.ContentLength > maxBytes {
-		return nil, &quota.LimitError{What: "body", Max: maxBytes, Received: response.ContentLength}
-	}
 	if response.ContentLength >= 0 {
-		if !request.Memory.Reserve(int(response.ContentLength)) {
-			return nil, quota.ErrExhausted
-		}
-		conn.source.startPhase("body", response.ContentLength+1, conn.reader.Buffered(), 0)
-		body := make([]byte, response.ContentLength)
-		_, err := io.ReadFull(response.Body, body)
-		return body, err
+		return conn.readKnownLength(response.Body, response.ContentLength, request)
 	}
+	maxBytes := request.maxBodyBytes()
 	conn.source.startPhase("body", maxFramingRatio*maxBytes+readBufferBytes, conn.reader.Buffered(), 0)
 	return quota.ReadAll(response.Body, "body", maxBytes, request.Memory)
 }
 
+// readKnownLength reads a body of a known length. Its memory is reserved before
+// it is read.
+func (conn *conn) readKnownLength(reader io.Reader, length int64, request *Request) ([]byte, error) {
+	if length == 0 {
+		return nil, nil
+	}
+	if maxBytes := request.maxBodyBytes(); length > maxBytes {
+		return nil, &quota.LimitError{What: "body", Max: maxBytes, Received: length}
+	}
+	if !request.Memory.Reserve(int(length)) {
+		return nil, quota.ErrExhausted
+	}
+	conn.source.startPhase("body", length+1, conn.reader.Buffered(), 0)
+	body := make([]byte, length)
+	_, err := io.ReadFull(reader, body)
+	if errors.Is(err, io.EOF) {
+		err = io.ErrUnexpectedEOF
+	}
+	return body, err
+}
+
+func (request *Request) maxBodyBytes() int64 {
+	return int64(cmp.Or(request.MaxBodyBytes, DefaultMaxBodyBytes))
+}
+
 // keepAliveMargin is subtracted from the server's keep-alive timeout, since a
 // request takes time to reach the server.
 const keepAliveMargin = 500 * time.Millisecond
