logbook: encode events without reflection, write waiting lines at once

The queue writes the lines that wait in one call, of up to 16 kB, and reports dropped lines after the write in which they were dropped, so that TestQueueNeverBlocks no longer depends on when its goroutine starts.

--- a/logbook/event.go
+++ b/logbook/event.go
@@ -1,6 +1,7 @@
 package logbook
 
 import (
+	"bytes"
 	"fmt"
 	"io"
 	"sync"
@@ -16,6 +17,29 @@
 // Event logs a decision of one part of the program, with its inputs and outcome
 // as fields.
 func (logbook *Logbook) Event(part, event string, fields Fields) {
+	if !logbook.logger.IsLevelEnabled(logrus.InfoLevel) {
+		return
+	}
+	if !logbook.json {
+		logbook.eventText(part, event, fields)
+		return
+	}
+	all := make([]field, 0, usualFields)
+	for name, value := range fields {
+		if name != "part" && (name != "host" || logbook.Host == "") {
+			all = append(all, newField(name, value))
+		}
+	}
+	all = append(all, field{"level", "info"}, field{"msg", event}, field{"time", time.Now().Format(timeFormat)}, field{"part", part})
+	if logbook.Host != "" {
+		all = append(all, field{"host", logbook.Host})
+	}
+	// A failed write of the log can't be logged itself; Queue counts them.
+	_, _ = logbook.out.Write(appendLine(make([]byte, 0, usualLineBytes), all))
+}
+
+// eventText logs an event as a line of text.
+func (logbook *Logbook) eventText(part, event string, fields Fields) {
 	line := logbook.logger.WithFields(fields).WithField("part", part)
 	if logbook.Host != "" {
 		line = line.WithField("host", logbook.Host)
@@ -23,6 +47,12 @@
 	line.Info(event)
 }
 
+// usualFields is the number of fields of most lines.
+const usualFields = 24
+
+// usualLineBytes is enough for most lines.
+const usualLineBytes = 512
+
 const (
 	// maxQueuedLines limits the lines that wait while the log's output is slow.
 	maxQueuedLines = 1024
@@ -101,17 +131,48 @@
 	<-queue.done
 }
 
-// run writes queued lines to out until Close.
+// maxBatchBytes limits the lines that are written at once, unless a single one is
+// longer.
+const maxBatchBytes = 16 << 10
+
+// run writes queued lines to out until Close, those that wait at once.
 func (queue *Queue) run(out io.Writer) {
 	defer close(queue.done)
+	var batch []byte
 	for line := range queue.lines {
-		if dropped := queue.dropped.Swap(0); dropped > 0 {
-			fmt.Fprintf(out, "{\"part\":\"log\",\"msg\":\"lines dropped\",\"count\":%d}\n", dropped)
+		batch = queue.appendWaiting(append(batch[:0], line...))
+		if _, err := out.Write(batch); err != nil {
+			// A failed write of the log can't be logged itself; its lines are counted as
+			// dropped.
+			queue.dropped.Add(int64(bytes.Count(batch, []byte("\n"))))
 		}
-		if _, err := out.Write(line); err != nil {
-			// A failed write of the log can't be logged itself; it is counted as a
-			// dropped line.
-			queue.dropped.Add(1)
+		queue.reportDropped(out)
+	}
+}
+
+// reportDropped logs how many lines were dropped since the last report, if any.
+func (queue *Queue) reportDropped(out io.Writer) {
+	dropped := queue.dropped.Swap(0)
+	if dropped == 0 {
+		return
+	}
+	if _, err := fmt.Fprintf(out, "{\"part\":\"log\",\"msg\":\"lines dropped\",\"count\":%d}\n", dropped); err != nil {
+		queue.dropped.Add(dropped)
+	}
+}
+
+// appendWaiting appends queued lines to a batch, without waiting for more.
+func (queue *Queue) appendWaiting(batch []byte) []byte {
+	for len(batch) < maxBatchBytes {
+		select {
+		case line, ok := <-queue.lines:
+			if !ok {
+				return batch
+			}
+			batch = append(batch, line...)
+		default:
+			return batch
 		}
 	}
+	return batch
 }
--- a/logbook/logbook.go
+++ b/logbook/logbook.go
@@ -26,6 +26,9 @@
 	Host string
 
 	logger *logrus.Logger
+	out    io.Writer
+	// json is set when events are written as JSON.
+	json bool
 
 	mu sync.Mutex
 	// lines is a ring buffer once it is full.
@@ -42,12 +45,13 @@
 		return nil, err
 	}
 	logger := logrus.New()
-	logger.SetOutput(out)
+	locked := &lockedWriter{out: out}
+	logger.SetOutput(locked)
 	logger.SetLevel(minLevel)
 	if format == "json" {
 		logger.SetFormatter(&logrus.JSONFormatter{TimestampFormat: timeFormat})
 	}
-	return &Logbook{logger: logger}, nil
+	return &Logbook{logger: logger, out: locked, json: format == "json"}, nil
 }
 
 // PartLogger returns a log function for one part of the program, which prefixes
