exchange: encode what the attempts of a request share once

The 90 attempts of a gathered request differ in two header fields. A template holds the encoded rest of the head; each attempt cloned, sorted and wrote the whole header before.

--- a/dispatch/attempt.go
+++ b/dispatch/attempt.go
@@ -121,7 +121,7 @@
 // execute performs an attempt and records its result. The attempt may end after
 // the request was answered.
 func (run *run) execute(sentAttempt *sentAttempt) {
-	sentAttempt.reply = run.dispatcher.Send(sentAttempt.ctx, &Attempt{Request: run.request, Replica: sentAttempt.replica})
+	sentAttempt.reply = run.dispatcher.Send(sentAttempt.ctx, &Attempt{Request: run.request, Replica: sentAttempt.replica, Template: run.template})
 	sentAttempt.cancel()
 	latency := time.Since(sentAttempt.started)
 	failure := sentAttempt.reply.Failure
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -116,6 +116,9 @@
 type Attempt struct {
 	Request *Request
 	Replica roster.Replica
+	// Template holds the content of the request for all its attempts; nil if this
+	// is the only one.
+	Template *exchange.Template
 }
 
 // Load is the load that a replica reports.
--- a/dispatch/run.go
+++ b/dispatch/run.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"fescuehall/exchange"
 	"fescuehall/roster"
 )
 
@@ -42,7 +43,9 @@
 type run struct {
 	dispatcher *Dispatcher
 	request    *Request
-	parts      []*part
+	// template encodes what the attempts share.
+	template *exchange.Template
+	parts    []*part
 	// completed receives the attempts that have ended.
 	completed     chan *sentAttempt
 	sentBundles   []*sentBundle
@@ -84,7 +87,7 @@
 	if !request.Route.Gathers() {
 		services = []string{request.Route.PickService(dispatcher.Random())}
 	}
-	run := &run{dispatcher: dispatcher, request: request, pending: len(services)}
+	run := &run{dispatcher: dispatcher, request: request, template: &exchange.Template{Request: request.Content}, pending: len(services)}
 	run.completed = make(chan *sentAttempt, len(services)*(request.Route.MaxAttempts+maxUnreachable+1))
 	// A peer replies at the target, after that with each part, and at the end.
 	run.bundleUpdates = make(chan bundleUpdate, 3*len(services))
--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -7,12 +7,9 @@
 package exchange
 
 import (
-	"bytes"
 	"context"
 	"errors"
-	"fmt"
 	"net/http"
-	"strconv"
 	"time"
 
 	"fescuehall/quota"
@@ -41,6 +38,11 @@
 	MaxBodyBytes int
 	// Memory is where the bytes of the response are reserved; nil reserves none.
 	Memory *quota.Reservation
+
+	// template is the template of which this is a variant, nil if it is none, and
+	// replaced the fields in which it differs.
+	template *Template
+	replaced []Field
 }
 
 // Response is a complete HTTP response.
@@ -190,18 +192,3 @@
 	}
 	return verdict.New(verdict.MayHaveRun, code, "read response from %s: %v", conn.address, err)
 }
-
-// encode returns the request in the wire format of HTTP/1.1.
-func (request *Request) encode() []byte {
-	var buffer bytes.Buffer
-	buffer.Grow(512 + len(request.Body))
-	fmt.Fprintf(&buffer, "%s %s HTTP/1.1\r\nHost: %s\r\n", request.Method, request.Target, request.Host)
-	if len(request.Body) > 0 || request.Method == http.MethodPost || request.Method == http.MethodPut {
-		buffer.WriteString("Content-Length: " + strconv.Itoa(len(request.Body)) + "\r\n")
-	}
-	// Header.Write returns only errors of the buffer, which never fails.
-	_ = request.Header.Write(&buffer)
-	buffer.WriteString("\r\n")
-	buffer.Write(request.Body)
-	return buffer.Bytes()
-}
