platform, route, peer: select workspaces by their keys

Cause: a configuration with tenants asks for a key with each request that isn't on a public route. Replicas get the workspace's name and never the key; what a caller says under that name is dropped in every deployment. Bundles name the workspace.

--- a/Makefile
+++ b/Makefile
@@ -67,5 +67,6 @@
 	$(GO) test -run '^$$' -fuzz FuzzRead -fuzztime 30s ./frame
 	$(GO) test -run '^$$' -fuzz FuzzParse -fuzztime 30s ./setting
 	$(GO) test -run '^$$' -fuzz FuzzResponse -fuzztime 30s ./exchange
+	$(GO) test -run '^$$' -fuzz FuzzKey -fuzztime 30s ./platform
 
 .PHONY: bench capacity faults fuzz
--- a/dispatch/result.go
+++ b/dispatch/result.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"maps"
 	"time"
 
 	"fescuehall/answer"
@@ -18,12 +19,23 @@
 // compared with the deadlines.
 const overloadRetryAfter = 250 * time.Millisecond
 
+// fields returns the log fields that name the request.
+func (run *run) fields() logbook.Fields {
+	fields := logbook.Fields{"id": run.request.ID, "route": run.request.Route.Name, "rank": run.request.Rank(), "version": run.request.Version}
+	if run.request.Workspace != nil {
+		fields["workspace"] = run.request.Workspace.Name
+	}
+	return fields
+}
+
 // refuse answers a request that the throttle did not admit.
 func (run *run) refuse(refusalProbability float64) *Answer {
 	run.cancel()
 	answer := &Answer{Failure: verdict.New(verdict.NotRun, verdict.Overload, "too few requests are answered in time"), RetryAfter: overloadRetryAfter}
 	run.observe("refused", time.Now())
-	run.dispatcher.Event("refused", logbook.Fields{"id": run.request.ID, "route": run.request.Route.Name, "rank": run.request.Rank(), "version": run.request.Version, "chance": refusalProbability})
+	fields := run.fields()
+	fields["chance"] = refusalProbability
+	run.dispatcher.Event("refused", fields)
 	return answer
 }
 
@@ -51,7 +63,7 @@
 func (run *run) refuseIsolated() *Answer {
 	run.cancel()
 	run.observe("cut off", time.Now())
-	run.dispatcher.Event("cut off", logbook.Fields{"id": run.request.ID, "route": run.request.Route.Name, "rank": run.request.Rank(), "version": run.request.Version})
+	run.dispatcher.Event("cut off", run.fields())
 	return &Answer{Failure: verdict.New(verdict.NotRun, verdict.Unreachable, "no other failure domain can be reached"), RetryAfter: isolatedRetryAfter}
 }
 
@@ -65,7 +77,7 @@
 func (run *run) refuseUnservable() *Answer {
 	run.cancel()
 	run.observe("unservable", time.Now())
-	run.dispatcher.Event("unservable", logbook.Fields{"id": run.request.ID, "route": run.request.Route.Name, "rank": run.request.Rank(), "version": run.request.Version})
+	run.dispatcher.Event("unservable", run.fields())
 	return &Answer{Failure: verdict.New(verdict.NotRun, verdict.NoReplica, "too few shards have a replica that accepts requests"), RetryAfter: unservableRetryAfter}
 }
 
@@ -73,7 +85,7 @@
 func (run *run) refuseStopping() *Answer {
 	run.cancel()
 	run.observe("stopping", time.Now())
-	run.dispatcher.Event("stopping", logbook.Fields{"id": run.request.ID, "route": run.request.Route.Name, "rank": run.request.Rank(), "version": run.request.Version})
+	run.dispatcher.Event("stopping", run.fields())
 	return &Answer{Failure: verdict.New(verdict.NotRun, verdict.Stopping, "this host stops"), RetryAfter: run.stoppingRetryAfter()}
 }
 
@@ -170,11 +182,8 @@
 // log.
 func (run *run) log(answer *Answer, callerLeft bool) {
 	now := time.Now()
-	fields := logbook.Fields{
-		"id":      run.request.ID,
-		"route":   run.request.Route.Name,
-		"rank":    run.request.Rank(),
-		"version": run.request.Version,
+	fields := run.fields()
+	maps.Copy(fields, logbook.Fields{
 		"took_ms": float64(now.Sub(run.request.Received).Microseconds()) / 1000,
 		"left_ms": run.request.Deadline.Sub(now).Milliseconds(),
 		"parts":   len(run.parts),
@@ -183,7 +192,7 @@
 		"retries": run.retries,
 		"cut":     run.partial,
 		"ways_ms": float64(run.request.NetworkDelay.Microseconds()) / 1000,
-	}
+	})
 	for _, sentBundle := range run.sentBundles {
 		fields["peer_"+sentBundle.bundle.Peer] = sentBundle.summary()
 	}
--- a/peer/delegator.go
+++ b/peer/delegator.go
@@ -65,6 +65,10 @@
 	Pauses func() uint64
 	// Refuses returns why this host gathers no bundles, nil when it does.
 	Refuses func() *verdict.Failure
+	// Identify returns the name of the workspace that a peer's bundle belongs to, empty
+	// if it has none, or why that can't be told. It replaces in the header what the
+	// replicas may not see. It may be nil: then the bundle is taken as it is.
+	Identify func(request *message.GatherRequest, header http.Header) (workspace string, failure *verdict.Failure)
 	// Memory limits the responses that replicas send for peers' bundles.
 	Memory *quota.Quota
 	// Event logs an event.
@@ -202,6 +206,7 @@
 		Host:          request.Content.Host,
 		Target:        request.Content.Target,
 		Body:          request.Content.Body,
+		Workspace:     request.Workspace.NameOrEmpty(),
 		ElapsedMicros: now.Sub(request.Received).Microseconds(),
 		LeftMicros:    request.Deadline.Sub(now).Microseconds(),
 	}
@@ -213,21 +218,42 @@
 	return encoded
 }
 
+// admit returns the workspace of a peer's bundle, nil if it has none, or why the
+// bundle is not gathered here.
+func (delegator *Delegator) admit(request *message.GatherRequest, header http.Header) (*route.Workspace, *verdict.Failure) {
+	if failure := delegator.Refuses(); failure != nil {
+		return nil, failure
+	}
+	name := request.Workspace
+	if delegator.Identify != nil {
+		identified, failure := delegator.Identify(request, header)
+		if failure != nil {
+			return nil, failure
+		}
+		name = identified
+	}
+	if name == "" {
+		return nil, nil
+	}
+	return &route.Workspace{Name: name}, nil
+}
+
 // Serve gathers a bundle for a peer. Shortly before the latency target it
 // replies with the answers of the shards so far, and then with each further
 // answer, until the peer cancels the bundle.
 func (delegator *Delegator) Serve(ctx context.Context, request *message.GatherRequest, reply func(*message.GatherReply)) {
-	if failure := delegator.Refuses(); failure != nil {
+	header := make(http.Header, len(request.Header))
+	for _, field := range request.Header {
+		header[field.Name] = append(header[field.Name], field.Value)
+	}
+	workspace, failure := delegator.admit(request, header)
+	if failure != nil {
 		reply(&message.GatherReply{RequestID: request.RequestID, Verdict: int(failure.Verdict), Code: string(failure.Code), Detail: failure.Detail})
 		return
 	}
 	now := time.Now()
 	memory := delegator.Memory.NewReservation()
 	defer memory.Release()
-	header := make(http.Header, len(request.Header))
-	for _, field := range request.Header {
-		header[field.Name] = append(header[field.Name], field.Value)
-	}
 	bundleRoute := &route.Route{
 		Name:          request.Route,
 		Idempotent:    true,
@@ -238,11 +264,13 @@
 		TopK:          request.TopK,
 	}
 	answer := delegator.Dispatcher.Serve(ctx, &dispatch.Request{
-		ID:       request.RequestID,
-		Route:    bundleRoute,
-		Pauses:   delegator.Pauses(),
-		Received: now.Add(-time.Duration(request.ElapsedMicros) * time.Microsecond),
-		Deadline: now.Add(time.Duration(request.LeftMicros) * time.Microsecond),
+		ID:    request.RequestID,
+		Route: bundleRoute,
+		// Its rank came with the bundle.
+		Workspace: workspace,
+		Pauses:    delegator.Pauses(),
+		Received:  now.Add(-time.Duration(request.ElapsedMicros) * time.Microsecond),
+		Deadline:  now.Add(time.Duration(request.LeftMicros) * time.Microsecond),
 		Report: func(partial *dispatch.Answer) {
 			reply(&message.GatherReply{RequestID: request.RequestID, Receipts: partial.Receipts, Records: partial.Records, More: true})
 		},
--- a/peer/peer_test.go
+++ b/peer/peer_test.go
@@ -183,7 +183,7 @@
 }
 
 // A request that is delegated to a peer reaches the peer's replicas as the
-// caller sent it.
+// caller sent it, for its workspace and with its rank.
 func TestDelegatedRequestReachesReplicas(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		delegator := newDelegator(nil)
@@ -191,6 +191,8 @@
 			Send: func(_ context.Context, attempt *dispatch.Attempt) *dispatch.Reply {
 				qt.Check(t, attempt.Request.ID, qt.Equals, "r")
 				qt.Check(t, attempt.Request.Content.Target, qt.Equals, "/x")
+				qt.Check(t, attempt.Request.Workspace, qt.DeepEquals, &route.Workspace{Name: "w"})
+				qt.Check(t, attempt.Request.Rank(), qt.Equals, 4)
 				qt.Check(t, attempt.Request.Content.Header["A"], qt.DeepEquals, []string{"1", "2"})
 				qt.Check(t, time.Until(attempt.Request.Deadline), qt.Equals, time.Second)
 				return &dispatch.Reply{Response: &exchange.Response{Body: make([]byte, 16)}, Receipt: attempt.Replica.Service}
@@ -210,7 +212,9 @@
 			return nil
 		}
 		delegator.Peers = func() []shard.Host { return peers(1) }
-		bundleReply := delegator.Delegate(t.Context(), newRequest(), dispatch.Bundle{Peer: "h1-0", Shards: shards(3)}, func(*dispatch.BundleReply) {})
+		request := newRequest()
+		request.Workspace = &route.Workspace{Name: "w", Ranked: true, Rank: 4}
+		bundleReply := delegator.Delegate(t.Context(), request, dispatch.Bundle{Peer: "h1-0", Shards: shards(3)}, func(*dispatch.BundleReply) {})
 		qt.Assert(t, bundleReply.Failure == nil, qt.IsTrue)
 		qt.Assert(t, bundleReply.Receipts, qt.DeepEquals, shards(3))
 		qt.Assert(t, sent.LeftMicros, qt.Equals, int64(1_000_000))
--- a/route/workspace.go
+++ b/route/workspace.go
@@ -2,6 +2,7 @@
 
 import (
 	"crypto/sha256"
+	"unsafe"
 )
 
 // Workspace is a customer's account, which requests belong to by their key. It is
@@ -21,11 +22,28 @@
 	Homes []string
 }
 
+// NameOrEmpty returns the name of the workspace, empty if it is nil.
+func (workspace *Workspace) NameOrEmpty() string {
+	if workspace == nil {
+		return ""
+	}
+	return workspace.Name
+}
+
+// MaxKeyBytes is the length of the longest key that a workspace may have.
+const MaxKeyBytes = 4 << 10
+
 // keyHash is the hash under which a key is looked up, so that the time of a lookup
 // tells nothing about other keys.
 type keyHash [sha256.Size]byte
 
-// WithWorkspaces returns a copy of the table with workspaces, by their keys.
+func hashKey(key string) keyHash {
+	// The hash only reads the bytes. A conversion would copy them to the heap.
+	return sha256.Sum256(unsafe.Slice(unsafe.StringData(key), len(key)))
+}
+
+// WithWorkspaces returns a copy of the table with workspaces. Each key maps to the
+// index of its workspace. With an empty list, no key is known.
 func (table *Table) WithWorkspaces(workspaces []Workspace, keys map[string]int) *Table {
 	copied := *table
 	copied.workspaces = make(map[keyHash]*Workspace, len(keys))
@@ -34,19 +52,22 @@
 		copied.workspaceNames[workspaces[index].Name] = &workspaces[index]
 	}
 	for key, index := range keys {
-		copied.workspaces[sha256.Sum256([]byte(key))] = &workspaces[index]
+		copied.workspaces[hashKey(key)] = &workspaces[index]
 	}
 	return &copied
 }
 
-// HasWorkspaces reports whether requests need a key.
+// HasWorkspaces reports whether requests need a key. A nil table has none.
 func (table *Table) HasWorkspaces() bool {
-	return table.workspaceNames != nil
+	return table != nil && table.workspaceNames != nil
 }
 
 // WorkspaceByKey returns the workspace that a key belongs to, nil if there is none.
 func (table *Table) WorkspaceByKey(key string) *Workspace {
-	return table.workspaces[sha256.Sum256([]byte(key))]
+	if key == "" || len(key) > MaxKeyBytes {
+		return nil
+	}
+	return table.workspaces[hashKey(key)]
 }
 
 // Workspace returns a workspace by its name, nil if there is none.
--- a/verdict/verdict.go
+++ b/verdict/verdict.go
@@ -76,6 +76,7 @@
 	Misplaced        Code = "Misplaced"
 	CallerLeft       Code = "CallerLeft"
 	UnknownRoute     Code = "UnknownRoute"
+	UnknownKey       Code = "UnknownKey"
 )
 
 // Failure is the error type of all steps that serve a request.
