peer: have the larger hosts of a domain gather for the small ones

Cause: callers' queries arrive at few hosts, most of them small. A query of 90 shards takes a host with 0.134 of a core over 100 ms, while the larger hosts of its domain idle. Each host has its own connections to 270 replicas, and a sample of each every few seconds. Change: a host that can't gather a query within a fifth of its latency target hands its local shards to peers with at least twice its cores, at most one bundle for each 30 shards. Bundles of remote shards go to such peers too. Shards whose local replicas are only suspected stay in the domain. Hosts that gather have half of each common limit (connections to a replica, retries and hedges).

--- a/dispatch/bundle.go
+++ b/dispatch/bundle.go
@@ -70,7 +70,7 @@
 
 // startBundles sends the planned bundles to their peers.
 func (run *run) startBundles() {
-	for _, bundle := range run.dispatcher.Plan(run.request.Route.Shards) {
+	for _, bundle := range run.dispatcher.Plan(run.request) {
 		sentBundle := &sentBundle{bundle: bundle, started: time.Now()}
 		for _, part := range run.parts {
 			if slices.Contains(bundle.Shards, part.service) {
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -165,9 +165,9 @@
 	// ReportMisplaced is called with the ID of a replica that was not found at its
 	// address.
 	ReportMisplaced func(id string)
-	// Plan returns the bundles of shards that are requested from peers. The other
+	// Plan returns the bundles of a request's shards that are requested from peers. The other
 	// shards are requested directly from their replicas. It may be nil.
-	Plan func(shards []string) []Bundle
+	Plan func(request *Request) []Bundle
 	// Delegate requests a bundle from a peer. It calls report with each reply
 	// before the last one, and returns the last. It always returns, at the latest
 	// shortly after ctx has ended. The cause of ctx is ErrSilent when the peer is
--- a/peer/delegator.go
+++ b/peer/delegator.go
@@ -2,9 +2,7 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"net/http"
-	"slices"
 	"time"
 
 	"fescuehall/dispatch"
@@ -21,14 +19,6 @@
 )
 
 const (
-	// minRemoteShards is the minimum number of remote shards worth a message to
-	// a peer: the message takes about as many bytes as two requests to single
-	// shards.
-	minRemoteShards = 3
-	// maxShardsPerHost is the maximum number of shards that one host gathers.
-	// More of them would take the processor of a small host longer than
-	// delegating them to a peer takes.
-	maxShardsPerHost = 24
 	// A peer that has not replied within silenceTargetFactor times the
 	// request's latency target, plus silenceMargin, counts as failed. A working
 	// peer sends a partial answer at the target, and a later one only if too
@@ -44,6 +34,8 @@
 type Delegator struct {
 	// Domain is this host's failure domain.
 	Domain string
+	// Cores is the number of processor cores that this host may use, 0 when unknown.
+	Cores float64
 	// Name is this host's name.
 	Name string
 	// Dispatcher gathers the bundles that peers send.
@@ -71,113 +63,6 @@
 	Event func(event string, fields logbook.Fields)
 }
 
-// Plan returns the bundles that peers are to gather. Each remote shard, which
-// has no replica in this host's failure domain, goes to a domain that has one;
-// a greedy choice keeps the number of domains small. Local shards are bundled
-// when there are too many of them for one host.
-func (delegator *Delegator) Plan(shards []string) []dispatch.Bundle {
-	remote := delegator.remoteShards(shards)
-	if len(remote) < minRemoteShards && len(shards) <= maxShardsPerHost {
-		return nil
-	}
-	peers := delegator.availablePeers()
-	local := slices.DeleteFunc(slices.Clone(shards), func(shard string) bool { return remote[shard] != nil })
-	bundles := delegator.splitLocal(local, peers[delegator.Domain])
-	delete(peers, delegator.Domain)
-	for len(peers) > 0 {
-		domain, covered := bestDomain(remote, peers)
-		if len(covered) < minRemoteShards {
-			break
-		}
-		for _, shard := range covered {
-			delete(remote, shard)
-		}
-		for group := range slices.Chunk(covered, maxShardsPerHost) {
-			bundle := delegator.newBundle(peers[domain], group)
-			bundle.Domain, bundle.Remote = domain, true
-			bundles = append(bundles, bundle)
-		}
-		delete(peers, domain)
-	}
-	return bundles
-}
-
-// splitLocal returns bundles for peers of this host's failure domain with the
-// local shards that exceed this host's part.
-func (delegator *Delegator) splitLocal(local []string, peers []string) []dispatch.Bundle {
-	if len(local) <= maxShardsPerHost || len(peers) == 0 {
-		return nil
-	}
-	groups := min((len(local)+maxShardsPerHost-1)/maxShardsPerHost, len(peers)+1)
-	size := (len(local) + groups - 1) / groups
-	var bundles []dispatch.Bundle
-	for group := range slices.Chunk(local[size:], size) {
-		bundle := delegator.newBundle(peers, group)
-		bundle.Domain = delegator.Domain
-		bundles = append(bundles, bundle)
-	}
-	return bundles
-}
-
-// newBundle assigns shards to one of several peers. The picker counts the
-// bundle as outstanding at that peer.
-func (delegator *Delegator) newBundle(peers, shards []string) dispatch.Bundle {
-	return dispatch.Bundle{Peer: peers[delegator.Picker.Pick(peers)], Shards: shards}
-}
-
-// remoteShards returns the shards without a replica in this host's failure
-// domain, with the domains of their replicas.
-func (delegator *Delegator) remoteShards(shards []string) map[string][]string {
-	remote := make(map[string][]string)
-	for _, shard := range shards {
-		local := false
-		var domains []string
-		for _, replica := range delegator.Replicas(shard) {
-			if delegator.Ejected(replica.ID) {
-				continue
-			}
-			local = local || replica.FailureDomain == delegator.Domain
-			domains = append(domains, replica.FailureDomain)
-		}
-		if !local && len(domains) > 0 {
-			remote[shard] = domains
-		}
-	}
-	return remote
-}
-
-// availablePeers returns the names of the peers that are not ejected, by
-// failure domain.
-func (delegator *Delegator) availablePeers() map[string][]string {
-	available := make(map[string][]string)
-	for _, peer := range delegator.Peers() {
-		if peer.Name != delegator.Name && !delegator.Picker.Status(peer.Name).Ejected {
-			available[peer.FailureDomain] = append(available[peer.FailureDomain], peer.Name)
-		}
-	}
-	return available
-}
-
-// bestDomain returns the failure domain that has replicas of the most remote
-// shards, and these shards. It chooses at random among equal ones.
-func bestDomain(remote map[string][]string, peers map[string][]string) (string, []string) {
-	var best string
-	var covered []string
-	// Maps are iterated in random order.
-	for domain := range peers {
-		var shards []string
-		for shard, domains := range remote {
-			if slices.Contains(domains, domain) {
-				shards = append(shards, shard)
-			}
-		}
-		if len(shards) > len(covered) || len(shards) == len(covered) && rand.IntN(2) == 0 {
-			best, covered = domain, shards
-		}
-	}
-	return best, covered
-}
-
 // firstReplyDeadline returns the time by which a working peer has sent its
 // first reply.
 func firstReplyDeadline(request *dispatch.Request) time.Time {
--- a/peer/list.go
+++ b/peer/list.go
@@ -4,6 +4,7 @@
 package peer
 
 import (
+	"math"
 	"slices"
 	"sync"
 	"time"
@@ -33,24 +34,30 @@
 
 	mu            sync.Mutex
 	peers         []shard.Host
-	lastSeen      map[string]time.Time
+	lastSeen      map[string]seenHost
 	firstUpdateAt time.Time
 }
 
+// seenHost is a host that was on the list.
+type seenHost struct {
+	at    time.Time
+	cores float64
+}
+
 // Update replaces the list by the complete one that was read.
 func (list *List) Update(peers []shard.Host) {
 	list.mu.Lock()
 	defer list.mu.Unlock()
 	now := list.Now()
 	if list.lastSeen == nil {
-		list.lastSeen = make(map[string]time.Time)
+		list.lastSeen = make(map[string]seenHost)
 		list.firstUpdateAt = now
 	}
 	list.reportChanges(peers)
 	list.peers = slices.Clone(peers)
 	list.markSeen(now)
-	for name, seenAt := range list.lastSeen {
-		if now.Sub(seenAt) > countedTime {
+	for name, seen := range list.lastSeen {
+		if now.Sub(seen.at) > countedTime {
 			delete(list.lastSeen, name)
 		}
 	}
@@ -65,7 +72,7 @@
 
 func (list *List) markSeen(now time.Time) {
 	for _, peer := range list.peers {
-		list.lastSeen[peer.Name] = now
+		list.lastSeen[peer.Name] = seenHost{at: now, cores: peer.Cores}
 	}
 }
 
@@ -92,13 +99,46 @@
 	return list.peers
 }
 
-// BudgetHosts returns the number of hosts that may be using a common budget:
-// those on the list within the last countedTime, at least one.
-func (list *List) BudgetHosts() int {
+// gatherersShare is the share of each common limit that is kept for hosts that gather
+// for others, which send most requests to replicas.
+const gatherersShare = 0.5
+
+// Share returns the share, 0 to 1, of a limit that all hosts have in common for a host
+// with a number of processor cores. Hosts that have gathererFactor times the cores of
+// the smallest one have gatherersShare together, the others the rest. Without such
+// hosts all have the same share. Hosts count that were on the list within the last
+// countedTime.
+func (list *List) Share(cores float64) float64 {
 	list.mu.Lock()
 	defer list.mu.Unlock()
+	hosts := max(1, len(list.lastSeen))
 	if list.firstUpdateAt.IsZero() || list.Now().Sub(list.firstUpdateAt) < startupTime {
-		return max(startupHosts, len(list.lastSeen))
+		return 1 / float64(max(startupHosts, hosts))
+	}
+	gatherers, smallest := list.countGatherers()
+	switch {
+	case gatherers == 0 || gatherers == hosts:
+		return 1 / float64(hosts)
+	case cores >= gathererFactor*smallest:
+		return gatherersShare / float64(gatherers)
+	}
+	return (1 - gatherersShare) / float64(hosts-gatherers)
+}
+
+// countGatherers returns the number of hosts that have gathererFactor times the cores
+// of the smallest one, and the cores of that. It returns 0 if some cores are unknown.
+func (list *List) countGatherers() (gatherers int, smallest float64) {
+	smallest = math.Inf(1)
+	for _, seen := range list.lastSeen {
+		smallest = min(smallest, seen.cores)
+	}
+	if smallest <= 0 {
+		return 0, 0
+	}
+	for _, seen := range list.lastSeen {
+		if seen.cores >= gathererFactor*smallest {
+			gatherers++
+		}
 	}
-	return max(1, len(list.lastSeen))
+	return gatherers, smallest
 }
--- a/peer/peer_test.go
+++ b/peer/peer_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math"
 	"net"
 	"slices"
 	"testing"
@@ -10,6 +11,7 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
 
 	"fescuehall/dispatch"
 	"fescuehall/exchange"
@@ -96,7 +98,7 @@
 				delegator.Ejected = test.ejected
 			}
 			seen := make(map[string]bool)
-			bundles := delegator.Plan(shards(test.shards))
+			bundles := delegator.Plan(&dispatch.Request{Route: &route.Route{Shards: shards(test.shards)}})
 			for _, bundle := range bundles {
 				qt.Assert(t, len(bundle.Shards) <= 24, qt.IsTrue)
 				qt.Assert(t, bundle.Peer != "h0-0", qt.IsTrue)
@@ -218,22 +220,107 @@
 }
 
 // A host is counted for a minute after it was last on the list, so that hosts
-// that are isolated from the store keep their shares of a budget.
-func TestBudgetHosts(t *testing.T) {
+// that are isolated from the store keep their shares of a limit.
+func TestShareCountsHosts(t *testing.T) {
 	now := time.Unix(1000, 0)
 	list := &peer.List{Now: func() time.Time { return now }}
-	qt.Assert(t, list.BudgetHosts(), qt.Equals, 12)
+	qt.Assert(t, list.Share(0), qt.Equals, 1.0/12)
 	list.Update(peers(2))
-	qt.Assert(t, list.BudgetHosts(), qt.Equals, 12)
+	qt.Assert(t, list.Share(0), qt.Equals, 1.0/12)
 	now = now.Add(11 * time.Second)
 	list.Confirm()
-	qt.Assert(t, list.BudgetHosts(), qt.Equals, 8)
+	qt.Assert(t, list.Share(0), qt.Equals, 1.0/8)
 	list.Update(peers(1))
-	qt.Assert(t, list.BudgetHosts(), qt.Equals, 8)
+	qt.Assert(t, list.Share(0), qt.Equals, 1.0/8)
 	qt.Assert(t, list.All(), qt.HasLen, 4)
 	now = now.Add(61 * time.Second)
 	list.Update(peers(1))
-	qt.Assert(t, list.BudgetHosts(), qt.Equals, 4)
+	qt.Assert(t, list.Share(0), qt.Equals, 1.0/4)
+}
+
+// The shares of all hosts add up to one, whatever their processors, so that no common
+// limit is exceeded.
+func TestSharesAddUp(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		now := time.Unix(1000, 0)
+		list := &peer.List{Now: func() time.Time { return now }}
+		hosts := peers(rapid.IntRange(1, 40).Draw(t, "hosts per domain"))
+		for i := range hosts {
+			hosts[i].Cores = rapid.SampledFrom([]float64{0, 0.1, 0.134, 0.2, 0.4, 0.8, 2}).Draw(t, "cores")
+		}
+		list.Update(hosts)
+		now = now.Add(11 * time.Second)
+		list.Confirm()
+		sum := 0.0
+		for _, host := range hosts {
+			sum += list.Share(host.Cores)
+		}
+		if math.Abs(sum-1) > 1e-9 {
+			t.Fatalf("shares add up to %v", sum)
+		}
+	})
+}
+
+// Callers' queries arrive at small hosts while larger ones of their domain idle.
+func TestPlanPrefersLargerHosts(t *testing.T) {
+	const small, large = 0.134, 0.8
+	tests := []struct {
+		name string
+		// self and peers are the cores of this host and of the first two hosts of each
+		// domain; all others have small ones.
+		self, peers float64
+		target      time.Duration
+		shards      int
+		// local and remote are the numbers of bundles by domain, own the shards that
+		// stay here.
+		local, remote, own int
+	}{
+		{name: "small host, larger peers", self: small, peers: large, target: 300 * time.Millisecond, shards: 90, local: 2, remote: 2},
+		{name: "small host, few shards", self: small, peers: large, target: 300 * time.Millisecond, shards: 20, remote: 1, own: 10},
+		{name: "large host", self: large, peers: large, target: 300 * time.Millisecond, shards: 90, remote: 2, own: 45},
+		{name: "small hosts only", self: small, peers: small, target: 300 * time.Millisecond, shards: 90, local: 1, remote: 2, own: 23},
+		{name: "sizes unknown", target: 300 * time.Millisecond, shards: 90, local: 1, remote: 2, own: 23},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			hosts := peers(6)
+			for i := range hosts {
+				if hosts[i].Cores = min(small, test.self); i%6 == 1 || i%6 == 2 {
+					hosts[i].Cores = test.peers
+				}
+			}
+			delegator := newDelegator(hosts)
+			delegator.Cores = test.self
+			own, local, remote := test.shards, 0, 0
+			for _, bundle := range delegator.Plan(&dispatch.Request{Route: &route.Route{Shards: shards(test.shards), LatencyTarget: test.target}}) {
+				own -= len(bundle.Shards)
+				if bundle.Remote {
+					remote++
+				} else {
+					local++
+				}
+				if test.peers == large {
+					qt.Check(t, bundle.Peer[3:] == "1" || bundle.Peer[3:] == "2", qt.IsTrue, qt.Commentf("%s", bundle.Peer))
+				}
+			}
+			qt.Check(t, []int{local, remote, own}, qt.DeepEquals, []int{test.local, test.remote, test.own})
+		})
+	}
+}
+
+// A replica that is suspected for a moment is left to the hosts that gather, which may
+// choose another; its shard doesn't go to another domain for that.
+func TestPlanKeepsSuspectedShardsWithGatherers(t *testing.T) {
+	hosts := peers(3)
+	for i := range hosts {
+		hosts[i].Cores = []float64{0.1, 0.8, 0.8}[i%3]
+	}
+	delegator := newDelegator(hosts)
+	delegator.Cores = 0.1
+	delegator.Ejected = func(string) bool { return true }
+	for _, bundle := range delegator.Plan(&dispatch.Request{Route: &route.Route{Shards: shards(90), LatencyTarget: 100 * time.Millisecond}}) {
+		qt.Check(t, bundle.Remote, qt.IsFalse)
+	}
 }
 
 // A host that stops, or was paused, refuses bundles as not run, so that their
--- a/peer/stop_test.go
+++ b/peer/stop_test.go
@@ -221,8 +221,8 @@
 	asker, other := test.newHost(test.work, ran), test.newHost(test.peerWork, ran)
 	asker.Dial = other.dial
 	dispatcher := asker.delegator.Dispatcher
-	dispatcher.Plan = func(shards []string) []dispatch.Bundle {
-		return []dispatch.Bundle{{Peer: "peer", Shards: shards[:test.bundled], Remote: true}}
+	dispatcher.Plan = func(request *dispatch.Request) []dispatch.Bundle {
+		return []dispatch.Bundle{{Peer: "peer", Shards: request.Route.Shards[:test.bundled], Remote: true}}
 	}
 	dispatcher.Delegate = asker.delegator.Delegate
 	dispatcher.HeardFrom = func(_ string, since time.Time) bool { return asker.HeardFrom(shard.Host{Address: "peer"}, since) }
