feed, platform: read the store later where the deployment's bounds allow it

Cause: in an outage of the store each follower asks it after 1.8 s without news from its reader, as the shortest bound of all deployments, 3 s, demands. On 130 hosts an outage of 2 s brings hundreds of calls that fail, and each is paid for. Change: the age from which a follower reads the store is a share of the shortest of the deployment's own bounds (a new configuration, a leaving replica, an evacuation). Without bounds in the settings, or with 3 s, nothing changes.

--- a/feed/feed.go
+++ b/feed/feed.go
@@ -25,6 +25,9 @@
 	// so that sequences of an earlier process of the same host do not match by
 	// chance.
 	Random func(n uint64) uint64
+	// Bound is the time within which a change of the configuration must be active on
+	// each host that can reach the store; 0 means shortestBound.
+	Bound time.Duration
 
 	mu sync.Mutex
 	// configs holds versions of the configuration, the newest last.
@@ -81,10 +84,10 @@
 }
 
 // ConfigRecent reports whether the configuration was confirmed within the last
-// maxConfigAge.
+// configAgeRatio of Bound.
 func (feed *Feed) ConfigRecent() bool {
 	age, known := feed.ConfigAge()
-	return known && age <= maxConfigAge
+	return known && age <= share(configAgeRatio, feed.Bound)
 }
 
 // nextSequence returns the sequence for changes that are about to be recorded.
--- a/feed/follower.go
+++ b/feed/follower.go
@@ -19,17 +19,21 @@
 	// itself. It is a little more than the intervals between reads and between
 	// fetches together.
 	maxListAge = 1500 * time.Millisecond
-	// maxOwnListAge is the age of this host's lists after which it reads them itself.
-	// It leaves time for the next host to take over as the reader, and, with the
-	// lag of a read, stays below the platform's shortest bound for replicas that
-	// leave, 3 s.
-	maxOwnListAge = 1900 * time.Millisecond
-	// maxConfigAge is the time since the store confirmed the configuration after
-	// which a host neither accepts it from another host nor does with its own, but
-	// reads the store. The reader confirms it once a second and followers fetch
-	// that within half a second. It bounds how late a host that can reach the store
-	// activates a change, whatever happens to the reader, and leaves time for a
-	// read that has to be repeated before the platform's shortest bound, 3 s.
+	// shortestBound is the shortest time in use within which a change must be known
+	// everywhere.
+	shortestBound = 3 * time.Second
+	// ownListAgeRatio is the age of this host's lists after which it reads them
+	// itself, as a share of that bound. It leaves time for the next host to take over
+	// as the reader, and for the lag of a read.
+	ownListAgeRatio = 0.63
+	// configAgeRatio is the time since the store confirmed the configuration after
+	// which a host reads it itself, as a share of that bound. The reader confirms it
+	// once a second and followers fetch that within half a second. It bounds how late
+	// a host that can reach the store activates a change, whatever happens to the
+	// reader, and leaves time for a read that has to be repeated.
+	configAgeRatio = 0.6
+	// maxConfigAge is the time since the store confirmed the configuration up to which
+	// a host accepts it from another host.
 	maxConfigAge = 1800 * time.Millisecond
 	// remoteListAge is the age of the lists at which a follower fetches from other
 	// failure domains, when no candidate of its own has had recent lists and its own
@@ -49,6 +53,11 @@
 	Domain string
 	// Now is a clock that also runs while the machine is suspended.
 	Now func() time.Time
+	// Bound is the time within which a change of the lists must be known on each host
+	// that can reach the store; 0 means shortestBound. With a longer one, hosts ask the
+	// store later when their reader fails, and a short outage of the store brings no
+	// calls of all hosts.
+	Bound time.Duration
 	// Hosts returns the hosts on the host list.
 	Hosts func() []shard.Host
 	// Version returns the version of the active configuration.
@@ -92,10 +101,15 @@
 	transfer     transfer
 }
 
+// share returns a share of a bound on how late changes are known.
+func share(ratio float64, bound time.Duration) time.Duration {
+	return time.Duration(ratio * float64(max(bound, shortestBound)))
+}
+
 // MustReadStore reports whether this host has to read the store itself: because
 // it is the reader, or because its lists are too old.
 func (follower *Follower) MustReadStore() bool {
-	limit := maxOwnListAge
+	limit := share(ownListAgeRatio, follower.Bound)
 	for i, host := range follower.ranking().candidates {
 		if host.Name != follower.Name {
 			continue
