--- a/feed/follower.go
+++ b/feed/follower.go
@@ -121,7 +121,7 @@
 			limit = maxListAge
 		}
 	}
-	return follower.Now().Sub(follower.readAt()) > limit
+	return follower.Now().Sub(follower.ReadAt()) > limit
 }
 
 // IsCandidate reports whether other hosts of the failure domain fetch from this one.
@@ -136,9 +136,9 @@
 	return fetched != nil && fetched.After(readAt)
 }
 
-// readAt returns when this host's lists were read from the store, by itself or by
+// ReadAt returns when this host's lists were read from the store, by itself or by
 // the host that it fetched them from.
-func (follower *Follower) readAt() time.Time {
+func (follower *Follower) ReadAt() time.Time {
 	readAt := follower.ListsReadAt()
 	if fetched := follower.fetchedReadAt.Load(); fetched != nil && fetched.After(readAt) {
 		return *fetched
@@ -187,7 +187,7 @@
 // own has no recent lists. A host that does so continues, since it then receives
 // only changes.
 func (follower *Follower) needsRemote() bool {
-	since := follower.readAt()
+	since := follower.ReadAt()
 	if since.Before(follower.firstFetchAt) {
 		since = follower.firstFetchAt
 	}
@@ -248,7 +248,7 @@
 		return fmt.Errorf("host %s has no recent lists, age %v", reply.Source, listAge+elapsed)
 	}
 	readAt := sentAt.Add(-listAge)
-	if readAt.Before(follower.readAt()) {
+	if readAt.Before(follower.ReadAt()) {
 		// Older lists may hold a replica that left.
 		return nil
 	}
--- a/link/client.go
+++ b/link/client.go
@@ -4,8 +4,10 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"sync"
+	"syscall"
 	"time"
 
 	"fescuehall/frame"
@@ -206,7 +208,7 @@
 		return
 	}
 	conn := newConn(netConn)
-	client.conn = conn
+	client.conn, client.dialErr = conn, nil
 	if client.pending == nil {
 		client.pending = make(map[uint64]*pendingCall)
 	}
@@ -250,6 +252,14 @@
 	}
 }
 
+// Refused reports whether the peer's machine refused the latest connection, so that
+// no process listens there.
+func (client *Client) Refused() bool {
+	client.mu.Lock()
+	defer client.mu.Unlock()
+	return (client.conn == nil || client.conn.closed()) && errors.Is(client.dialErr, syscall.ECONNREFUSED)
+}
+
 // LastReceived returns when a reply to any request last arrived, the zero time
 // before the first.
 func (client *Client) LastReceived() time.Time {
--- a/peer/frames.go
+++ b/peer/frames.go
@@ -24,6 +24,8 @@
 	HandleGather func(ctx context.Context, request *message.GatherRequest, reply func(*message.GatherReply))
 	// HandleFeedFetch handles a fetch of what this host read from the store.
 	HandleFeedFetch func(fetch *message.FeedFetch) *message.FeedNews
+	// HandleAllowanceAsk handles an ask for tokens of a limit that all hosts share.
+	HandleAllowanceAsk func(ctx context.Context, ask *message.AllowanceAsk) *message.AllowanceGrant
 	// Event logs a frame or reply that is dropped.
 	Event func(event string, fields logbook.Fields)
 	// Memory limits the replies that are being read or handled; nil sets no limit.
@@ -90,6 +92,22 @@
 	return reply, wire.call(ctx, to, frame.FeedFetch, fetch, reply)
 }
 
+// AskAllowance asks another host for tokens of a limit that all hosts share. Errors
+// are *verdict.Failure.
+func (wire *Wire) AskAllowance(ctx context.Context, to shard.Host, ask *message.AllowanceAsk) (*message.AllowanceGrant, error) {
+	reply := &message.AllowanceGrant{}
+	if err := wire.call(ctx, to, frame.AllowanceAsk, ask, reply); err != nil {
+		return nil, err
+	}
+	return reply, nil
+}
+
+// Ended reports whether the latest connection to a host was refused, as by a machine
+// on which its process has ended.
+func (wire *Wire) Ended(host shard.Host) bool {
+	return wire.link(host.Address).Refused()
+}
+
 // Probe checks whether a host answers. Neither the probe nor its reply has a
 // body.
 func (wire *Wire) Probe(ctx context.Context, to shard.Host) error {
@@ -128,6 +146,13 @@
 			return
 		}
 		wire.send(reply, frame.FeedNews, wire.HandleFeedFetch(fetch))
+	case frame.AllowanceAsk:
+		ask := &message.AllowanceAsk{}
+		if _, err := ask.UnmarshalMsg(received.Body); err != nil {
+			wire.logDroppedFrame(err)
+			return
+		}
+		wire.send(reply, frame.AllowanceGrant, wire.HandleAllowanceAsk(ctx, ask))
 	default:
 		wire.logDroppedFrame(fmt.Errorf("unexpected frame type %d", received.Type))
 	}
--- a/peer/list.go
+++ b/peer/list.go
@@ -28,6 +28,8 @@
 type List struct {
 	// Now returns the current time.
 	Now func() time.Time
+	// Updated is called with each complete list that was read; it may be nil.
+	Updated func(peers []shard.Host)
 	// Changed is called with each host that joined the list ("came") or left it
 	// ("left"); it may be nil.
 	Changed func(peer shard.Host, change string)
@@ -46,6 +48,9 @@
 
 // Update replaces the list by the complete one that was read.
 func (list *List) Update(peers []shard.Host) {
+	if list.Updated != nil {
+		list.Updated(peers)
+	}
 	list.mu.Lock()
 	defer list.mu.Unlock()
 	now := list.Now()
--- a/verdict/verdict.go
+++ b/verdict/verdict.go
@@ -77,6 +77,8 @@
 	CallerLeft       Code = "CallerLeft"
 	UnknownRoute     Code = "UnknownRoute"
 	UnknownKey       Code = "UnknownKey"
+	AllowanceUsed    Code = "AllowanceUsed"
+	AllowanceUnknown Code = "AllowanceUnknown"
 )
 
 // Failure is the error type of all steps that serve a request.
