--- a/allowance/allowance_test.go
+++ b/allowance/allowance_test.go
@@ -1,7 +1,10 @@
 package allowance_test
 
 import (
+	"context"
 	"fmt"
+	"maps"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -10,6 +13,9 @@
 	"pgregory.net/rapid"
 
 	"fescuehall/allowance"
+	"fescuehall/message"
+	"fescuehall/shard"
+	"fescuehall/uptime"
 )
 
 const domains = 4
@@ -27,93 +33,129 @@
 	share  float64
 }
 
-var faultKinds = []string{"kill", "pause", "isolate", "domain cut", "store cut", "store down", "loss", "slow", "stop", "split", "split from store", "lower", "raise", "herd kill"}
+// node returns the node that the fault is about.
+func (fault fault) node(world *world) *node {
+	return world.order[fault.target%len(world.order)]
+}
 
-// begin applies a fault and returns what ends it.
-func (fault fault) begin(world *world) (end func()) {
-	node := world.order[fault.target%len(world.order)]
-	set := func(apply func(number int)) {
-		for i := range world.order {
-			if float64((i*7919+fault.target)%1000)/1000 < fault.share {
-				apply(i)
-			}
+// set returns the nodes that a fault of several nodes is about.
+func (fault fault) set(world *world) []*node {
+	var set []*node
+	for i, node := range world.order {
+		if float64((i*7919+fault.target)%1000)/1000 < fault.share {
+			set = append(set, node)
 		}
 	}
-	switch fault.kind {
-	case "kill":
-		node.up = false
-		return func() { world.start(node, domains) }
-	case "herd kill":
-		set(func(number int) { world.order[number].up = false })
-		return func() { set(func(number int) { world.start(world.order[number], domains) }) }
-	case "stop":
-		node.leaving, node.leaseUntil = true, time.Time{}
-		return func() { world.start(node, domains) }
-	case "pause":
-		node.frozen = true
-		return func() { node.frozen = false }
-	case "isolate":
-		node.cut = true
-		return func() { node.cut = false }
-	case "store cut":
-		set(func(number int) { world.order[number].storeCut = true })
-		return func() { set(func(number int) { world.order[number].storeCut = false }) }
-	case "domain cut":
-		move := func(side int) {
-			for _, other := range world.order {
-				if other.FailureDomain == node.FailureDomain {
-					other.side = side
-				}
+	return set
+}
+
+// each returns a fault that changes some nodes and changes them back.
+func each(nodes func(fault, *world) []*node, change func(node *node, on bool)) func(fault, *world) func() {
+	return func(fault fault, world *world) func() {
+		for _, node := range nodes(fault, world) {
+			change(node, true)
+		}
+		return func() {
+			for _, node := range nodes(fault, world) {
+				change(node, false)
 			}
 		}
-		move(1)
-		return func() { move(0) }
-	case "split":
-		set(func(number int) { world.order[number].side = 2 })
-		return func() { set(func(number int) { world.order[number].side = 0 }) }
-	case "split from store":
-		// The hosts that are not in the set lose the store.
-		for _, other := range world.order {
-			other.storeCut = true
+	}
+}
+
+// kill ends processes and starts them again.
+func kill(nodes func(fault, *world) []*node) func(fault, *world) func() {
+	return func(fault fault, world *world) func() {
+		for _, node := range nodes(fault, world) {
+			node.up = false
 		}
-		set(func(number int) { world.order[number].side, world.order[number].storeCut = 3, false })
 		return func() {
-			for _, other := range world.order {
-				other.side, other.storeCut = 0, false
+			for _, node := range nodes(fault, world) {
+				world.start(node, domains)
 			}
 		}
-	case "store down":
+	}
+}
+
+func one(fault fault, world *world) []*node { return []*node{fault.node(world)} }
+
+func domainOf(fault fault, world *world) []*node {
+	return slices.DeleteFunc(slices.Clone(world.order), func(node *node) bool {
+		return node.FailureDomain != fault.node(world).FailureDomain
+	})
+}
+
+// setLimit changes the limit by a factor.
+func setLimit(factor float64) func(fault, *world) func() {
+	return func(_ fault, world *world) func() {
+		limit := world.limits[world.current]
+		limit.Rate, limit.Burst = limit.Rate*factor, limit.Burst*factor
+		world.limits = append(world.limits, limit)
+		world.current++
+		return func() {}
+	}
+}
+
+// faults maps the kinds of faults to what begins them and returns what ends them.
+var faults = map[string]func(fault, *world) (end func()){
+	"kill":        kill(one),
+	"herd kill":   kill(fault.set),
+	"pause":       each(one, func(node *node, on bool) { node.frozen = on }),
+	"isolate":     each(one, func(node *node, on bool) { node.cut = on }),
+	"store cut":   each(fault.set, func(node *node, on bool) { node.storeCut = on }),
+	"domain cut":  each(domainOf, func(node *node, on bool) { node.side = map[bool]int{true: 1}[on] }),
+	"split":       each(fault.set, func(node *node, on bool) { node.side = map[bool]int{true: 2}[on] }),
+	"lower":       setLimit(0.2),
+	"raise":       setLimit(1.5),
+	"split store": splitFromStore,
+	"stop": func(fault fault, world *world) func() {
+		node := fault.node(world)
+		node.leaving, node.leaseUntil = true, time.Time{}
+		return func() { world.start(node, domains) }
+	},
+	"store down": func(_ fault, world *world) func() {
 		world.storeDown = true
 		return func() { world.storeDown = false }
-	case "loss":
+	},
+	"loss": func(fault fault, world *world) func() {
 		world.loss = fault.share
 		return func() { world.loss = 0 }
-	case "slow":
+	},
+	"slow": func(_ fault, world *world) func() {
 		world.delay = 150 * time.Millisecond
 		return func() { world.delay = 2 * time.Millisecond }
-	case "lower", "raise":
-		factor := map[string]float64{"lower": 0.2, "raise": 1.5}[fault.kind]
-		limit := world.limits[world.current]
-		limit.Rate, limit.Burst = limit.Rate*factor, limit.Burst*factor
-		world.limits = append(world.limits, limit)
-		world.current++
+	},
+}
+
+// splitFromStore separates some hosts, which keep the store, from the others, which
+// lose it.
+func splitFromStore(fault fault, world *world) func() {
+	for _, node := range world.order {
+		node.storeCut = true
+	}
+	for _, node := range fault.set(world) {
+		node.side, node.storeCut = 3, false
+	}
+	return func() {
+		for _, node := range world.order {
+			node.side, node.storeCut = 0, false
+		}
 	}
-	return func() {}
 }
 
 // play runs a world for a time: demand requests a second come to the given callers'
 // hosts, and faults happen.
-func play(world *world, length time.Duration, callers []int, demand float64, faults []fault) {
+func play(world *world, length time.Duration, callers []int, demand float64, planned []fault) {
 	begin := time.Now()
 	for _, node := range world.order {
 		world.start(node, domains)
 	}
-	for _, fault := range faults {
+	for _, fault := range planned {
 		var end func()
 		time.AfterFunc(fault.at, func() {
 			world.mu.Lock()
 			defer world.mu.Unlock()
-			end = fault.begin(world)
+			end = faults[fault.kind](fault, world)
 		})
 		time.AfterFunc(fault.at+fault.length, func() {
 			world.mu.Lock()
@@ -130,15 +172,18 @@
 				break
 			}
 			time.Sleep(time.Until(next))
+			world.mu.Lock()
 			node := world.order[callers[world.random.IntN(len(callers))]%len(world.order)]
-			go world.request(node, "workspace/w")
 			next = next.Add(time.Duration(world.random.ExpFloat64() / demand * float64(time.Second)))
+			world.mu.Unlock()
+			go world.request(node, "workspace/w")
 		}
 	}
 	world.mu.Lock()
 	world.ended = true
 	world.mu.Unlock()
 	time.Sleep(2 * time.Second)
+	synctest.Wait()
 }
 
 // Whatever fails, all hosts together never allow more than the rule does in any
@@ -150,12 +195,12 @@
 				limit := newLimit(rapid.Float64Range(0.1, 40).Draw(r, "rate"), rapid.Float64Range(0, 40).Draw(r, "burst"))
 				callers := rapid.SliceOfN(rapid.IntRange(0, count-1), 1, 12).Draw(r, "callers")
 				demand := limit.Rate*rapid.Float64Range(0.3, 7.5).Draw(r, "demand") + 1
-				var faults []fault
+				var planned []fault
 				for range rapid.IntRange(0, 8).Draw(r, "faults") {
-					faults = append(faults, fault{
+					planned = append(planned, fault{
 						at:     time.Duration(rapid.IntRange(0, 40_000).Draw(r, "at")) * time.Millisecond,
 						length: time.Duration(rapid.IntRange(100, 20_000).Draw(r, "length")) * time.Millisecond,
-						kind:   rapid.SampledFrom(faultKinds).Draw(r, "kind"),
+						kind:   rapid.SampledFrom(slices.Sorted(maps.Keys(faults))).Draw(r, "kind"),
 						target: rapid.IntRange(0, 1000).Draw(r, "target"),
 						share:  rapid.Float64Range(0.05, 0.9).Draw(r, "share"),
 					})
@@ -165,7 +210,7 @@
 				var requests int
 				synctest.Test(t, func(*testing.T) {
 					world := newWorld(count, domains, limit, seed)
-					play(world, 50*time.Second, callers, demand, faults)
+					play(world, 50*time.Second, callers, demand, planned)
 					excess, _, requests = world.worst()
 				})
 				if excess > 0 {
@@ -215,3 +260,38 @@
 		})
 	}
 }
+
+// newTokens returns the tokens of a host that keeps its own limits alone.
+func newTokens(now func() time.Time) *allowance.Tokens {
+	self := shard.Host{Name: "h0", FailureDomain: "d0", KeepsAllowances: true}
+	hosts := &allowance.Hosts{Name: self.Name, Domain: self.FailureDomain, Now: now, ReadAt: now}
+	hosts.Update([]shard.Host{self})
+	keeper := &allowance.Keeper{Hosts: hosts, Domains: domainNames(1), Limit: func(string) (allowance.Limit, bool) { return newLimit(1e7, 1e7), true }}
+	return &allowance.Tokens{
+		Domain: self.FailureDomain, Domains: domainNames(1), Now: now, Keeper: hosts.Keeper,
+		Random:  func() float64 { return 0.5 },
+		Version: func() uint64 { return 1 },
+		Ask: func(ctx context.Context, _ shard.Host, ask *message.AllowanceAsk) (*message.AllowanceGrant, error) {
+			return keeper.Grant(ctx, ask), nil
+		},
+	}
+}
+
+// BenchmarkTake measures a request that a token of this host admits.
+func BenchmarkTake(b *testing.B) {
+	limit := newLimit(1e7, 1e7)
+	now := uptime.Now()
+	tokens := newTokens(func() time.Time { return now })
+	tokens.Take(context.Background(), "workspace/w", limit)
+	now = now.Add(10 * time.Second)
+	ticket := tokens.Take(context.Background(), "workspace/w", limit)
+	if ticket.Decision != allowance.Allowed {
+		b.Fatal("no token")
+	}
+	tokens.Now = uptime.Now
+	b.ReportAllocs()
+	for b.Loop() {
+		tokens.Return("workspace/w", ticket)
+		tokens.Take(context.Background(), "workspace/w", limit)
+	}
+}
--- a/allowance/model_test.go
+++ b/allowance/model_test.go
@@ -225,38 +225,45 @@
 // step advances the store and what the nodes read of it.
 func (world *world) step(now time.Time) {
 	world.mu.Lock()
-	oldest := world.current
+	world.renew(now)
+	type update struct {
+		hosts *allowance.Hosts
+		list  []shard.Host
+	}
+	var updates []update
 	for _, node := range world.order {
-		if node.up && !node.frozen && !node.leaving && world.inTouch(node) && !now.Before(node.renewAt) {
-			node.leaseUntil, node.renewAt = now.Add(leaseTime), now.Add(renewEvery)
-		}
-		if node.up {
-			oldest = min(oldest, node.version)
+		if node.up && !node.frozen && !now.Before(node.nextRead) && world.read(node, now) {
+			updates = append(updates, update{node.hosts, world.lists[node.entry].hosts})
 		}
 	}
-	if len(world.known) == 0 || world.known[len(world.known)-1].oldest != oldest {
-		world.known = append(world.known, knownVersions{at: now, oldest: oldest})
+	world.mu.Unlock()
+	for _, update := range updates {
+		update.hosts.Update(update.list)
 	}
+}
+
+// renew renews the leases of the nodes and records the list of hosts and the versions
+// that are known. The caller holds the lock.
+func (world *world) renew(now time.Time) {
+	oldest := world.current
 	var listed []shard.Host
 	for _, node := range world.order {
+		if node.up {
+			oldest = min(oldest, node.version)
+			if !node.frozen && !node.leaving && world.inTouch(node) && !now.Before(node.renewAt) {
+				node.leaseUntil, node.renewAt = now.Add(leaseTime), now.Add(renewEvery)
+			}
+		}
 		if now.Before(node.leaseUntil) {
 			listed = append(listed, node.Host)
 		}
 	}
+	if len(world.known) == 0 || world.known[len(world.known)-1].oldest != oldest {
+		world.known = append(world.known, knownVersions{at: now, oldest: oldest})
+	}
 	if !slices.Equal(listed, world.lists[len(world.lists)-1].hosts) {
 		world.lists = append(world.lists, listing{at: now, hosts: listed})
 	}
-	var updates []func()
-	for _, node := range world.order {
-		if node.up && !node.frozen && !now.Before(node.nextRead) && world.read(node, now) {
-			hosts, list := node.hosts, world.lists[node.entry].hosts
-			updates = append(updates, func() { hosts.Update(list) })
-		}
-	}
-	world.mu.Unlock()
-	for _, update := range updates {
-		update()
-	}
 }
 
 // inTouch reports whether a node reaches the store. The caller holds the lock.
--- a/peer/peer_test.go
+++ b/peer/peer_test.go
@@ -351,6 +351,9 @@
 		HandleFeedFetch: func(fetch *message.FeedFetch) *message.FeedNews {
 			return &message.FeedNews{Version: fetch.Version + 1}
 		},
+		HandleAllowanceAsk: func(_ context.Context, ask *message.AllowanceAsk) *message.AllowanceGrant {
+			return &message.AllowanceGrant{Tokens: ask.Tokens, NextMicros: int64(len(ask.Limit))}
+		},
 	}
 	server := &link.Server{Handle: serverWire.Handle}
 	stopped := make(chan error)
@@ -368,10 +371,15 @@
 	feedReply, err := clientWire.FetchFeed(t.Context(), to, &message.FeedFetch{Version: 7})
 	qt.Assert(t, err, qt.IsNil)
 	qt.Assert(t, feedReply.Version, qt.Equals, uint64(8))
+	grant, err := clientWire.AskAllowance(t.Context(), to, &message.AllowanceAsk{Limit: "w", Tokens: 2})
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, *grant, qt.Equals, message.AllowanceGrant{Tokens: 2, NextMicros: 1})
 	qt.Assert(t, clientWire.Probe(t.Context(), to), qt.IsNil)
+	qt.Assert(t, clientWire.Ended(to), qt.IsFalse)
 	listener.Close()
 	<-stopped
 	unconnectedWire := &peer.Wire{}
 	err = unconnectedWire.RequestGather(t.Context(), to, &message.GatherRequest{}, handle)
 	qt.Assert(t, verdict.FailureOf(err).Verdict, qt.Equals, verdict.NotRun)
+	qt.Assert(t, unconnectedWire.Ended(to), qt.IsTrue)
 }
