allowance, platform: keep limits at once after a restart

Cause: a host that becomes the keeper of a limit waits 3.5 s, since an earlier keeper may still grant. Change: a host that finds an earlier process of itself on the list before it has registered begins at once, with empty buckets: that process was the keeper and has ended.

--- a/allowance/hosts.go
+++ b/allowance/hosts.go
@@ -50,6 +50,9 @@
 	// ReadAt returns when the store was asked for the list of hosts that was last
 	// passed to Update or is still valid.
 	ReadAt func() time.Time
+	// Registered reports whether this process has put its host on the list; nil if
+	// that is not known.
+	Registered func() bool
 	// Ended reports whether a host's process has ended: it refused a connection.
 	Ended func(host shard.Host) bool
 	// Ask sends an ask to another host.
@@ -113,11 +116,25 @@
 		return
 	}
 	now := hosts.Now()
+	from := now
+	if len(hosts.lists) == 0 && hosts.listedBefore(local) {
+		from = now.Add(-takeoverTime)
+	}
 	hosts.fingerprint = fingerprint
-	hosts.lists = append(hosts.lists, domainList{placement: shard.New(local), hosts: local, from: now})
+	hosts.lists = append(hosts.lists, domainList{placement: shard.New(local), hosts: local, from: from})
 	hosts.forget(now)
 }
 
+// listedBefore reports whether an earlier process of this host is on the first list.
+// Other hosts then have this host on their lists as well, and what it keeps was kept by
+// that process, which has ended, so that there is no time to wait for another keeper.
+func (hosts *Hosts) listedBefore(list []shard.Host) bool {
+	if hosts.Registered == nil || hosts.Registered() {
+		return false
+	}
+	return slices.ContainsFunc(list, func(host shard.Host) bool { return host.Name == hosts.Name })
+}
+
 // setLatest records the list and reports whether it differs from the one before.
 func (hosts *Hosts) setLatest(list []shard.Host) bool {
 	hosts.mu.Lock()
--- a/peer/list.go
+++ b/peer/list.go
@@ -97,6 +97,13 @@
 	}
 }
 
+// Known reports whether the list was read at least once.
+func (list *List) Known() bool {
+	list.mu.Lock()
+	defer list.mu.Unlock()
+	return !list.firstUpdateAt.IsZero()
+}
+
 // All returns the hosts on the list.
 func (list *List) All() []shard.Host {
 	list.mu.Lock()
