roster, suspect: allocate less for each list and each fetch

The replicas by service share one block, a failure domain is stored when it changes, and streaks are sorted in memory that is kept. Not measured by itself.

--- a/roster/roster.go
+++ b/roster/roster.go
@@ -146,7 +146,9 @@
 	next := make(map[string]Replica, len(list))
 	for _, replica := range list {
 		next[replica.ID] = replica
-		roster.domains.Store(replica.ID, replica.FailureDomain)
+		if known, ok := roster.replicas[replica.ID]; !ok || known.FailureDomain != replica.FailureDomain {
+			roster.domains.Store(replica.ID, replica.FailureDomain)
+		}
 	}
 	retain := now.Sub(roster.outageEnd) < registrationGrace
 	for id, replica := range roster.replicas {
@@ -209,14 +211,21 @@
 // publish stores the replicas that accept requests, by service, for readers
 // that take no lock.
 func (roster *Roster) publish(now time.Time) {
-	byService := make(map[string][]Replica)
+	counts := make(map[string]int)
 	for id, replica := range roster.replicas {
-		reportedAt, misplaced := roster.misplacedAt[id]
-		if misplaced && now.Sub(reportedAt) > misplacedTTL {
+		if reportedAt, misplaced := roster.misplacedAt[id]; misplaced && now.Sub(reportedAt) > misplacedTTL {
 			delete(roster.misplacedAt, id)
-			misplaced = false
 		}
-		if !replica.Leaving && !misplaced {
+		counts[replica.Service]++
+	}
+	byService := make(map[string][]Replica, len(counts))
+	// All lists share one block of memory.
+	block := make([]Replica, len(roster.replicas))
+	for service, count := range counts {
+		byService[service], block = block[:0:count], block[count:]
+	}
+	for id, replica := range roster.replicas {
+		if _, misplaced := roster.misplacedAt[id]; !replica.Leaving && !misplaced {
 			byService[replica.Service] = append(byService[replica.Service], replica)
 		}
 	}
--- a/suspect/suspect.go
+++ b/suspect/suspect.go
@@ -49,6 +49,8 @@
 	streaks map[string]*streak
 	// reported contains the suspected names for which OnSuspected has been called.
 	reported map[string]bool
+	// recent is the memory in which Streaks sorts.
+	recent []message.Streak
 }
 
 func (tracker *Tracker) streak(name string) *streak {
@@ -129,7 +131,7 @@
 	tracker.mu.Lock()
 	defer tracker.mu.Unlock()
 	now := tracker.Now()
-	var streaks []message.Streak
+	streaks := tracker.recent[:0]
 	for name, streak := range tracker.streaks {
 		if streak.lastLate.IsZero() || now.Sub(streak.lastLate) >= streakExpiry {
 			continue
@@ -144,7 +146,8 @@
 	slices.SortFunc(streaks, func(a, b message.Streak) int {
 		return cmp.Or(cmp.Compare(a.LastMillis, b.LastMillis), cmp.Compare(a.Name, b.Name))
 	})
-	return streaks[:min(len(streaks), maxStreaks)]
+	tracker.recent = streaks
+	return slices.Clone(streaks[:min(len(streaks), maxStreaks)])
 }
 
 // Merge merges the streaks received from another host. It is idempotent.
