suspect: look for recent streaks among the late replicas only

Streaks went through an entry for every replica that ever replied, for each message to and from a feed's source. It goes through those with a late reply, and drops the expired ones. TestStreaksArePassedOn fails without any of the three changes to the set. Not measured by itself.

--- a/suspect/suspect.go
+++ b/suspect/suspect.go
@@ -47,6 +47,8 @@
 
 	mu      sync.Mutex
 	streaks map[string]*streak
+	// late holds the streaks that may have a recent late reply.
+	late map[string]*streak
 	// reported contains the suspected names for which OnSuspected has been called.
 	reported map[string]bool
 	// recent is the memory in which Streaks sorts.
@@ -56,6 +58,7 @@
 func (tracker *Tracker) streak(name string) *streak {
 	if tracker.streaks == nil {
 		tracker.streaks = make(map[string]*streak)
+		tracker.late = make(map[string]*streak)
 		tracker.reported = make(map[string]bool)
 	}
 	tracked := tracker.streaks[name]
@@ -84,6 +87,7 @@
 		streak.firstLate = now
 	}
 	streak.lastLate = now
+	tracker.late[name] = streak
 	tracker.report(name, streak, now)
 }
 
@@ -132,8 +136,9 @@
 	defer tracker.mu.Unlock()
 	now := tracker.Now()
 	streaks := tracker.recent[:0]
-	for name, streak := range tracker.streaks {
+	for name, streak := range tracker.late {
 		if streak.lastLate.IsZero() || now.Sub(streak.lastLate) >= streakExpiry {
+			delete(tracker.late, name)
 			continue
 		}
 		streaks = append(streaks, message.Streak{
@@ -157,6 +162,7 @@
 	now := tracker.Now()
 	for _, received := range streaks {
 		local := tracker.streak(received.Name)
+		tracker.late[received.Name] = local
 		local.merge(streak{lastTimely: timeOfAge(now, received.TimelyMillis), firstLate: timeOfAge(now, received.FirstMillis), lastLate: timeOfAge(now, received.LastMillis)})
 		tracker.report(received.Name, local, now)
 	}
@@ -200,5 +206,6 @@
 	tracker.mu.Lock()
 	defer tracker.mu.Unlock()
 	delete(tracker.streaks, name)
+	delete(tracker.late, name)
 	delete(tracker.reported, name)
 }
--- a/suspect/suspect_test.go
+++ b/suspect/suspect_test.go
@@ -122,3 +122,24 @@
 	qt.Assert(t, streaks, qt.HasLen, 48)
 	qt.Assert(t, streaks[0].LastMillis, qt.Equals, int64(1))
 }
+
+// A host passes on the streaks that it received, until they expire or their
+// replica has left.
+func TestStreaksArePassedOn(t *testing.T) {
+	names := func(tracker *suspect.Tracker) []string {
+		names := []string{}
+		for _, streak := range tracker.Streaks() {
+			names = append(names, streak.Name)
+		}
+		return names
+	}
+	tracker, clock := newTracker()
+	tracker.Merge([]message.Streak{{Name: "r", FirstMillis: 900, LastMillis: 100, TimelyMillis: -1}, {Name: "s", FirstMillis: 900, LastMillis: 200, TimelyMillis: -1}})
+	qt.Assert(t, names(tracker), qt.DeepEquals, []string{"r", "s"})
+	tracker.Forget("s")
+	qt.Assert(t, names(tracker), qt.DeepEquals, []string{"r"})
+	clock.advance(2000)
+	qt.Assert(t, names(tracker), qt.DeepEquals, []string{})
+	tracker.RecordLate("r")
+	qt.Assert(t, names(tracker), qt.DeepEquals, []string{"r"})
+}
