--- a/dispatch/run.go
+++ b/dispatch/run.go
@@ -130,15 +130,20 @@
 	defer run.dispatcher.Stop.Await()()
 	timer := time.NewTimer(0)
 	defer timer.Stop()
+	var armed time.Time
 	for !run.settled(time.Now()) {
 		run.report(time.Now())
-		timer.Reset(time.Until(run.nextWakeup()))
+		if next := run.nextWakeup(); !next.Equal(armed) {
+			timer.Reset(time.Until(next))
+			armed = next
+		}
 		select {
 		case sentAttempt := <-run.completed:
 			run.handleCompletion(sentAttempt)
 		case update := <-run.bundleUpdates:
 			run.handleBundleUpdate(update)
 		case <-timer.C:
+			armed = time.Time{}
 			run.abandonSilentBundles(time.Now())
 			run.hedgeLateParts(time.Now())
 		case <-run.dispatcher.Stop.AnsweringEnded():
