--- a/exchange/head.go
+++ b/exchange/head.go
@@ -97,10 +97,10 @@
 		line, fields, _ = strings.Cut(fields, lineEnd)
 		name, value, ok := strings.Cut(line, ":")
 		value = strings.Trim(value, " \t")
-		if !ok || !isPlainName(name) || !isPlainValue(value) {
+		key, plain := plainKey(name)
+		if !ok || !plain || !isPlainValue(value) {
 			return nil, false
 		}
-		key := textproto.CanonicalMIMEHeaderKey(name)
 		if header[key] != nil || changesMeaning(key, value) {
 			return nil, false
 		}
@@ -122,17 +122,25 @@
 	return false
 }
 
-// isPlainName reports whether a field's name consists of letters, digits,
-// hyphens and underscores.
-func isPlainName(name string) bool {
+// plainKey returns the canonical form of a field's name. It reports false unless
+// the name consists of letters, digits, hyphens and underscores.
+func plainKey(name string) (string, bool) {
+	canonical, first := true, true
 	for index := range len(name) {
 		char := name[index]
-		letter := char|0x20 >= 'a' && char|0x20 <= 'z'
-		if !letter && (char < '0' || char > '9') && char != '-' && char != '_' {
-			return false
+		lower, upper := char >= 'a' && char <= 'z', char >= 'A' && char <= 'Z'
+		if !lower && !upper && strings.IndexByte("0123456789-_", char) < 0 {
+			return "", false
+		}
+		if first && lower || !first && upper {
+			canonical = false
 		}
+		first = char == '-'
+	}
+	if canonical {
+		return name, name != ""
 	}
-	return name != ""
+	return textproto.CanonicalMIMEHeaderKey(name), true
 }
 
 // isPlainValue reports whether a value consists of printable ASCII characters
