evacuation, roster, feed, platform: send nothing to evacuated domains

Cause: operators evacuate a failure domain by a key in the store, which hosts did not read. The set of evacuated domains is confirmed with the configuration, travels with each confirmation in FeedNews, and is replaced only by one that is confirmed for a later time. The roster leaves out replicas of these domains, so that no attempt, hedge, retry or bundle's request chooses them, and an attempt that waited for a connection is refused before it is sent and goes elsewhere outside the budget. A request whose service has no replica is refused at once, as those that gather were. A confirmation of a host of an earlier release, which knows no evacuations, does not count.

dispatch, roster, replica: heed replicas that leave or want a pause

Cause: a replica says in any reply that it leaves, and with a refusal for how long it wants no requests. Change: the roster marks that incarnation as leaving, whatever its entry says later. A paused replica gets no attempt before the pause ends, and those that wait for a connection to it are refused before they are sent. A part whose replicas are all paused waits for the first one if the deadline allows it. An attempt that was not sent is no failure of its replica.

dispatch, peer: keep requests in the regions of their homes

Cause: routes and workspaces may name the regions that their requests may reach. Change: replicas and peers in other regions are left out of attempts, bundles and the checks that come before; a bundle carries the homes to the peer that serves it.

--- a/dispatch/attempt.go
+++ b/dispatch/attempt.go
@@ -24,6 +24,9 @@
 	unreachable int
 	// hedgeAt is when the part is hedged, zero if it is not to be hedged.
 	hedgeAt time.Time
+	// resumeAt is when the first attempt is sent, after the pause of a replica, zero
+	// if the part waits for none.
+	resumeAt time.Time
 	// reply is the successful reply, nil before it.
 	reply *Reply
 	// notRetried is why the last failed attempt was not retried, empty if it was.
@@ -96,9 +99,10 @@
 	return true
 }
 
-// candidates returns the replicas that were not sent an attempt of the part.
+// candidates returns the replicas that may get the request now and were not sent an
+// attempt of the part.
 func (run *run) candidates(part *part) []roster.Replica {
-	all := run.dispatcher.Replicas(part.service)
+	all := run.withoutPaused(run.replicas(part.service))
 	if len(part.attempted) == 0 && part.avoidDomain == "" {
 		return all
 	}
@@ -128,8 +132,10 @@
 	result := replica.Result{Latency: latency, QueueLength: sentAttempt.reply.Load.Waiting, Failed: failure != nil}
 	if failure != nil {
 		result.Unreachable = failure.Code == verdict.Unreachable
-		result.Cancelled = failure.Code == verdict.Cancelled
+		// A replica that accepts no requests has not failed.
+		result.Cancelled = failure.Code == verdict.Cancelled || failure.Code == verdict.Draining
 	}
+	run.recordWishes(sentAttempt)
 	run.dispatcher.Picker.Done(sentAttempt.replica.ID, result)
 	run.recordLateness(sentAttempt.replica.ID, result, failure)
 	if failure == nil || result.Cancelled {
@@ -140,6 +146,18 @@
 	run.completed <- sentAttempt
 }
 
+// recordWishes records that a replica said that it leaves, or that it wants no
+// requests for a while.
+func (run *run) recordWishes(sentAttempt *sentAttempt) {
+	reply, picker := sentAttempt.reply, run.dispatcher.Picker
+	if reply.Leaving && run.dispatcher.ReportLeaving != nil {
+		run.dispatcher.ReportLeaving(sentAttempt.replica)
+	}
+	if reply.Pause > 0 {
+		picker.Pause(sentAttempt.replica.ID, picker.Now().Add(reply.Pause))
+	}
+}
+
 // recordLateness records in Suspects whether an attempt was in time or late. A
 // refused attempt, or one that was cancelled early, counts as neither. A
 // replica that was not found at its address always counts as late.
@@ -224,16 +242,16 @@
 }
 
 // retry sends another attempt after a failure, if the request may run again and
-// the budget of extra requests allows it. An attempt that reached no replica is
-// retried outside the budget, up to maxUnreachable attempts. Without an attempt, the
-// reason is kept for the log.
+// the budget of extra requests allows it. An attempt that was not sent, or reached no
+// replica, is retried outside the budget, up to maxUnreachable attempts. Without an
+// attempt, the reason is kept for the log.
 func (run *run) retry(index int, failure *verdict.Failure) bool {
 	part := run.parts[index]
 	part.notRetried = run.retryObstacle(part, failure)
 	if part.notRetried != "" {
 		return false
 	}
-	if failure.Code == verdict.Unreachable {
+	if wasNotSent(failure) {
 		part.unreachable++
 		return run.startAttempt(index, false)
 	}
@@ -245,6 +263,12 @@
 	return run.startAttempt(index, false)
 }
 
+// wasNotSent reports whether an attempt reached no replica, or was not sent since the
+// replica no longer accepts requests.
+func wasNotSent(failure *verdict.Failure) bool {
+	return failure.Code == verdict.Unreachable || failure.Code == verdict.Draining
+}
+
 // retryObstacle returns why a failed attempt can't be retried whatever the budget
 // is, or an empty string.
 func (run *run) retryObstacle(part *part, failure *verdict.Failure) string {
@@ -261,7 +285,7 @@
 		return "this host stops"
 	case len(run.candidates(part)) == 0:
 		return "no other replica"
-	case failure.Code == verdict.Unreachable && part.unreachable+1 >= maxUnreachable:
+	case wasNotSent(failure) && part.unreachable+1 >= maxUnreachable:
 		return "too many unreachable replicas"
 	}
 	return ""
--- a/dispatch/bundle.go
+++ b/dispatch/bundle.go
@@ -70,7 +70,7 @@
 
 // startBundles sends the planned bundles to their peers.
 func (run *run) startBundles() {
-	for _, bundle := range run.dispatcher.Plan(run.request.Route.Shards) {
+	for _, bundle := range run.dispatcher.Plan(run.request.Route.Shards, run.allows) {
 		sentBundle := &sentBundle{bundle: bundle, started: time.Now()}
 		for _, part := range run.parts {
 			if slices.Contains(bundle.Shards, part.service) {
@@ -214,7 +214,7 @@
 	maxAttempts := run.request.Route.MaxAttempts
 	switch sentBundle.failure.Code {
 	case verdict.Silent, verdict.ConnectionLost, verdict.Stopping:
-		replicas := len(run.dispatcher.Replicas(part.service))
+		replicas := len(run.replicas(part.service))
 		return maxAttempts > 1 && replicas > 0 && replicas <= maxAttempts
 	}
 	return false
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -136,6 +136,10 @@
 	// Failure is nil for a success.
 	Failure *verdict.Failure
 	Load    Load
+	// Leaving is set when the replica said that it leaves.
+	Leaving bool
+	// Pause is for how long the replica wants no requests.
+	Pause time.Duration
 }
 
 // Answer is the answer to a request.
@@ -165,9 +169,15 @@
 	// ReportMisplaced is called with the ID of a replica that was not found at its
 	// address.
 	ReportMisplaced func(id string)
+	// ReportLeaving is called with a replica that said in a reply that it leaves; it
+	// may be nil.
+	ReportLeaving func(replica roster.Replica)
+	// Regions maps failure domains to their regions.
+	Regions map[string]string
 	// Plan returns the bundles of shards that are requested from peers. The other
-	// shards are requested directly from their replicas. It may be nil.
-	Plan func(shards []string) []Bundle
+	// shards are requested directly from their replicas. Only the peers and replicas
+	// of allowed failure domains may get the request. It may be nil.
+	Plan func(shards []string, allows func(domain string) bool) []Bundle
 	// Delegate requests a bundle from a peer. It calls report with each reply
 	// before the last one, and returns the last. It always returns, at the latest
 	// shortly after ctx has ended. The cause of ctx is ErrSilent when the peer is
@@ -267,32 +277,31 @@
 // isolated reports whether this host can't answer a gathered request because no
 // other failure domain can be reached and too few of the shards have a replica
 // in this host's failure domain. From time to time it lets a request try.
-func (dispatcher *Dispatcher) isolated(route *route.Route) bool {
+func (run *run) isolated() bool {
+	dispatcher, route := run.dispatcher, run.request.Route
 	if dispatcher.Reach == nil || !route.Gathers() || !dispatcher.Reach.Isolated() {
 		return false
 	}
 	localShards := 0
 	for _, shard := range route.Shards {
-		if slices.ContainsFunc(dispatcher.Replicas(shard), func(replica roster.Replica) bool { return replica.FailureDomain == dispatcher.Domain }) {
+		if slices.ContainsFunc(dispatcher.Replicas(shard), func(replica roster.Replica) bool {
+			return replica.FailureDomain == dispatcher.Domain && run.allows(replica.FailureDomain)
+		}) {
 			localShards++
 		}
 	}
 	return localShards < route.MinShards() && !dispatcher.Reach.TakeTrial()
 }
 
-// servable reports whether enough shards of a gathered request have a replica
-// that accepts requests. Any other request finds that out by its only attempt.
-func (dispatcher *Dispatcher) servable(route *route.Route) bool {
-	if !route.Gathers() {
-		return true
-	}
+// servable reports whether enough parts of a request have a replica that accepts it.
+func (run *run) servable() bool {
 	missing := 0
-	for _, shard := range route.Shards {
-		if len(dispatcher.Replicas(shard)) == 0 {
+	for _, part := range run.parts {
+		if !run.hasReplica(part.service) {
 			missing++
 		}
 	}
-	return len(route.Shards)-missing >= route.MinShards()
+	return len(run.parts)-missing >= run.request.Route.MinShards()
 }
 
 // trackTarget reports to the throttle whether a request was answered in time. A
--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -362,7 +362,7 @@
 				fakeReplicas := &fakeReplicas{}
 				defer time.Sleep(2 * time.Second)
 				dispatcher := newDispatcher(fakeReplicas)
-				dispatcher.Plan = func([]string) []dispatch.Bundle {
+				dispatcher.Plan = func([]string, func(string) bool) []dispatch.Bundle {
 					return []dispatch.Bundle{{Peer: "peer", Shards: []string{"s1", "s3"}}}
 				}
 				dispatcher.Delegate = func(ctx context.Context, _ *dispatch.Request, _ dispatch.Bundle, report func(*dispatch.BundleReply)) *dispatch.BundleReply {
@@ -404,7 +404,7 @@
 func TestSlowPartsOfTwoBundles(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		dispatcher := newDispatcher(&fakeReplicas{})
-		dispatcher.Plan = func([]string) []dispatch.Bundle {
+		dispatcher.Plan = func([]string, func(string) bool) []dispatch.Bundle {
 			return []dispatch.Bundle{{Peer: "one", Shards: []string{"s0", "s1"}}, {Peer: "two", Shards: []string{"s2", "s3"}}}
 		}
 		dispatcher.Delegate = func(_ context.Context, _ *dispatch.Request, bundle dispatch.Bundle, report func(*dispatch.BundleReply)) *dispatch.BundleReply {
--- a/dispatch/load_test.go
+++ b/dispatch/load_test.go
@@ -79,7 +79,7 @@
 				fakeReplicas := &fakeReplicas{extraReplicas: test.replicas - 2}
 				dispatcher := newDispatcher(fakeReplicas)
 				dispatcher.SetRetryBudget(0, test.budget)
-				dispatcher.Plan = func([]string) []dispatch.Bundle {
+				dispatcher.Plan = func([]string, func(string) bool) []dispatch.Bundle {
 					return []dispatch.Bundle{{Peer: "peer", Shards: []string{"s1", "s3"}, Remote: true, Domain: "cut"}}
 				}
 				sentAt := time.Now()
--- a/dispatch/result.go
+++ b/dispatch/result.go
@@ -33,9 +33,9 @@
 	switch {
 	case !run.dispatcher.Stop.Admits(0):
 		return run.refuseStopping()
-	case run.dispatcher.isolated(run.request.Route):
+	case run.isolated():
 		return run.refuseIsolated()
-	case !run.dispatcher.servable(run.request.Route):
+	case !run.servable():
 		return run.refuseUnservable()
 	}
 	return nil
--- a/dispatch/run.go
+++ b/dispatch/run.go
@@ -115,9 +115,7 @@
 			continue
 		}
 		run.dispatcher.budget(part.service).RecordFirst(1)
-		if !run.startAttempt(index, false) {
-			run.endUnanswered(part)
-		}
+		run.startPart(index)
 	}
 }
 
@@ -138,6 +136,7 @@
 		case <-timer.C:
 			run.abandonSilentBundles(time.Now())
 			run.hedgeLateParts(time.Now())
+			run.resumeParts(time.Now())
 		case <-run.dispatcher.Stop.AnsweringEnded():
 			run.stopped = true
 		case <-ctx.Done():
@@ -228,8 +227,10 @@
 		next = run.nextReportAt()
 	}
 	for _, part := range run.parts {
-		if !part.ended() && !part.hedgeAt.IsZero() && part.hedgeAt.Before(next) {
-			next = part.hedgeAt
+		for _, at := range [...]time.Time{part.hedgeAt, part.resumeAt} {
+			if !part.ended() && !at.IsZero() && at.Before(next) {
+				next = at
+			}
 		}
 	}
 	return next
--- a/feed/feed.go
+++ b/feed/feed.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"fescuehall/evacuation"
 	"fescuehall/message"
 	"fescuehall/roster"
 	"fescuehall/shard"
@@ -25,6 +26,9 @@
 	// so that sequences of an earlier process of the same host do not match by
 	// chance.
 	Random func(n uint64) uint64
+	// Evacuations is the set of evacuated failure domains. It holds every change up
+	// to a confirmation of the configuration before that is recorded.
+	Evacuations *evacuation.Set
 
 	mu sync.Mutex
 	// configs holds versions of the configuration, the newest last.
@@ -164,6 +168,9 @@
 	feed.mu.Lock()
 	defer feed.mu.Unlock()
 	reply := &message.FeedNews{Source: feed.Name, Sequence: feed.sequence, AgeMicros: feed.age(feed.listsReadAt()), ConfigAgeMicros: feed.age(feed.configConfirmedAt)}
+	if reply.ConfigAgeMicros != neverRead {
+		reply.Evacuated, reply.EvacuationsKnown = feed.Evacuations.Domains()
+	}
 	feed.addConfig(reply, fetch)
 	// The follower rejects older lists.
 	if reply.AgeMicros != neverRead && reply.AgeMicros <= maxListAge.Microseconds() {
--- a/feed/feed_test.go
+++ b/feed/feed_test.go
@@ -12,6 +12,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"fescuehall/evacuation"
 	"fescuehall/feed"
 	"fescuehall/message"
 	"fescuehall/roster"
@@ -27,10 +28,12 @@
 // group is the hosts of one failure domain, which fetch from each other without
 // a network.
 type group struct {
-	now     time.Time
-	feeds   map[string]*feed.Feed
-	down    map[string]bool
-	fetches int
+	now   time.Time
+	feeds map[string]*feed.Feed
+	down  map[string]bool
+	// evacuated is what the store holds.
+	evacuated []string
+	fetches   int
 }
 
 func newGroup() *group {
@@ -44,12 +47,13 @@
 // newFeed returns a feed for a host. Its random numbers depend on the number of
 // the process, since a restarted host draws other ones.
 func newFeed(group *group, name string, process uint64) *feed.Feed {
-	return &feed.Feed{Name: name, Now: func() time.Time { return group.now }, Random: rand.New(rand.NewPCG(process, 0)).Uint64N}
+	return &feed.Feed{Name: name, Now: func() time.Time { return group.now }, Random: rand.New(rand.NewPCG(process, 0)).Uint64N, Evacuations: &evacuation.Set{}}
 }
 
 // readStore records at a host's feed what the host read from the store.
 func (group *group) readStore(name string, replicas ...roster.Replica) {
 	group.feeds[name].PutConfig(7, []byte("config"))
+	group.feeds[name].Evacuations.Confirm(group.evacuated, group.now)
 	group.feeds[name].ConfirmConfig(group.now)
 	group.feeds[name].PutReplicas(replicas, group.now)
 	group.feeds[name].PutHosts(hosts, group.now)
@@ -75,6 +79,7 @@
 		Hosts:       func() []shard.Host { return hosts },
 		Version:     func() uint64 { return version },
 		ListsReadAt: group.feeds[name].ListsReadAt,
+		Evacuations: group.feeds[name].Evacuations,
 		SendFetch: func(_ context.Context, host shard.Host, fetch *message.FeedFetch) (*message.FeedNews, error) {
 			group.fetches++
 			if group.down[host.Name] {
--- a/feed/follower.go
+++ b/feed/follower.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"maps"
 	"slices"
 	"sync/atomic"
 	"time"
 
+	"fescuehall/evacuation"
 	"fescuehall/message"
 	"fescuehall/roster"
 	"fescuehall/shard"
@@ -66,6 +68,9 @@
 	// ConfigRecent reports whether the configuration was confirmed recently, to this
 	// host or to one that told this host.
 	ConfigRecent func() bool
+	// Evacuations is the set of evacuated failure domains. A reply's set is as old as
+	// its confirmation of the configuration.
+	Evacuations *evacuation.Set
 	// ConfirmConfig is called with a time at which the store held no newer
 	// configuration than the fetched one.
 	ConfirmConfig func(at time.Time)
@@ -215,18 +220,36 @@
 	if reply.ConfigAgeMicros == neverRead || configAge+elapsed > maxConfigAge {
 		return false, fmt.Errorf("host %s has no recent configuration, age %v", host.Name, configAge+elapsed)
 	}
+	confirmedAt := sentAt.Add(-configAge)
+	if err := follower.receiveEvacuations(reply, confirmedAt); err != nil {
+		return false, fmt.Errorf("host %s: %w", host.Name, err)
+	}
 	if len(reply.Config) > 0 {
 		if err := follower.receiveConfig(reply); err != nil {
 			return false, fmt.Errorf("host %s: %w", host.Name, err)
 		}
 	}
 	more = len(reply.Config) > 0 && follower.Version() < reply.Version
-	if follower.Version() >= reply.Version {
-		follower.ConfirmConfig(sentAt.Add(-configAge))
+	if follower.Version() >= reply.Version && reply.EvacuationsKnown {
+		follower.ConfirmConfig(confirmedAt)
 	}
 	return more, follower.receiveLists(reply, sentAt, elapsed)
 }
 
+// receiveEvacuations applies the evacuated failure domains in a reply. Hosts of an
+// earlier release don't know them: their confirmation of the configuration does not
+// count, and this host takes nothing from them before it knows the evacuations.
+func (follower *Follower) receiveEvacuations(reply *message.FeedNews, confirmedAt time.Time) error {
+	if reply.EvacuationsKnown {
+		follower.Evacuations.Confirm(reply.Evacuated, confirmedAt)
+		return nil
+	}
+	if _, known := follower.Evacuations.Domains(); !known {
+		return errors.New("it does not know the evacuated failure domains")
+	}
+	return nil
+}
+
 // receiveLists applies the lists in a reply, unless they are too old.
 func (follower *Follower) receiveLists(reply *message.FeedNews, sentAt time.Time, elapsed time.Duration) error {
 	listAge := time.Duration(reply.AgeMicros) * time.Microsecond
--- a/metric/configuration.go
+++ b/metric/configuration.go
@@ -24,3 +24,10 @@
 		return -1
 	}))
 }
+
+// PublishEvacuations publishes the failure domains whose replicas get no requests. A
+// later call replaces the function of an earlier one.
+func PublishEvacuations(domains func() []string) {
+	configurationOnce.Do(func() { expvar.Publish("Configuration", configuration) })
+	configuration.Set("Evacuated", expvar.Func(func() any { return domains() }))
+}
--- a/peer/delegator.go
+++ b/peer/delegator.go
@@ -74,13 +74,17 @@
 // Plan returns the bundles that peers are to gather. Each remote shard, which
 // has no replica in this host's failure domain, goes to a domain that has one;
 // a greedy choice keeps the number of domains small. Local shards are bundled
-// when there are too many of them for one host.
-func (delegator *Delegator) Plan(shards []string) []dispatch.Bundle {
-	remote := delegator.remoteShards(shards)
+// when there are too many of them for one host. Peers and replicas of failure domains
+// that are not allowed get none; a nil function allows all.
+func (delegator *Delegator) Plan(shards []string, allows func(domain string) bool) []dispatch.Bundle {
+	if allows == nil {
+		allows = func(string) bool { return true }
+	}
+	remote := delegator.remoteShards(shards, allows)
 	if len(remote) < minRemoteShards && len(shards) <= maxShardsPerHost {
 		return nil
 	}
-	peers := delegator.availablePeers()
+	peers := delegator.availablePeers(allows)
 	local := slices.DeleteFunc(slices.Clone(shards), func(shard string) bool { return remote[shard] != nil })
 	bundles := delegator.splitLocal(local, peers[delegator.Domain])
 	delete(peers, delegator.Domain)
@@ -127,13 +131,13 @@
 
 // remoteShards returns the shards without a replica in this host's failure
 // domain, with the domains of their replicas.
-func (delegator *Delegator) remoteShards(shards []string) map[string][]string {
+func (delegator *Delegator) remoteShards(shards []string, allows func(domain string) bool) map[string][]string {
 	remote := make(map[string][]string)
 	for _, shard := range shards {
 		local := false
 		var domains []string
 		for _, replica := range delegator.Replicas(shard) {
-			if delegator.Ejected(replica.ID) {
+			if delegator.Ejected(replica.ID) || !allows(replica.FailureDomain) {
 				continue
 			}
 			local = local || replica.FailureDomain == delegator.Domain
@@ -146,12 +150,12 @@
 	return remote
 }
 
-// availablePeers returns the names of the peers that are not ejected, by
-// failure domain.
-func (delegator *Delegator) availablePeers() map[string][]string {
+// availablePeers returns the names of the peers of allowed failure domains that are
+// not ejected, by failure domain.
+func (delegator *Delegator) availablePeers(allows func(domain string) bool) map[string][]string {
 	available := make(map[string][]string)
 	for _, peer := range delegator.Peers() {
-		if peer.Name != delegator.Name && !delegator.Picker.Status(peer.Name).Ejected {
+		if peer.Name != delegator.Name && allows(peer.FailureDomain) && !delegator.Picker.Status(peer.Name).Ejected {
 			available[peer.FailureDomain] = append(available[peer.FailureDomain], peer.Name)
 		}
 	}
@@ -204,6 +208,7 @@
 		Body:          request.Content.Body,
 		ElapsedMicros: now.Sub(request.Received).Microseconds(),
 		LeftMicros:    request.Deadline.Sub(now).Microseconds(),
+		Homes:         request.Homes(),
 	}
 	for name, values := range request.Content.Header {
 		for _, value := range values {
@@ -236,6 +241,7 @@
 		Rank:          request.Rank,
 		Shards:        request.Shards,
 		TopK:          request.TopK,
+		Homes:         request.Homes,
 	}
 	answer := delegator.Dispatcher.Serve(ctx, &dispatch.Request{
 		ID:       request.RequestID,
--- a/peer/peer_test.go
+++ b/peer/peer_test.go
@@ -96,7 +96,7 @@
 				delegator.Ejected = test.ejected
 			}
 			seen := make(map[string]bool)
-			bundles := delegator.Plan(shards(test.shards))
+			bundles := delegator.Plan(shards(test.shards), nil)
 			for _, bundle := range bundles {
 				qt.Assert(t, len(bundle.Shards) <= 24, qt.IsTrue)
 				qt.Assert(t, bundle.Peer != "h0-0", qt.IsTrue)
--- a/peer/stop_test.go
+++ b/peer/stop_test.go
@@ -221,7 +221,7 @@
 	asker, other := test.newHost(test.work, ran), test.newHost(test.peerWork, ran)
 	asker.Dial = other.dial
 	dispatcher := asker.delegator.Dispatcher
-	dispatcher.Plan = func(shards []string) []dispatch.Bundle {
+	dispatcher.Plan = func(shards []string, _ func(string) bool) []dispatch.Bundle {
 		return []dispatch.Bundle{{Peer: "peer", Shards: shards[:test.bundled], Remote: true}}
 	}
 	dispatcher.Delegate = asker.delegator.Delegate
--- a/replica/picker.go
+++ b/replica/picker.go
@@ -5,6 +5,7 @@
 import (
 	"math"
 	"math/rand/v2"
+	"sync/atomic"
 	"time"
 )
 
@@ -52,6 +53,9 @@
 	Suspected func(address string) bool
 
 	states sharded[*state]
+	// pausesEnd is the latest end of a pause, nil before the first one, so that
+	// nothing is looked up while no pause lasts.
+	pausesEnd atomic.Pointer[time.Time]
 }
 
 // state is what this host has measured of one replica.
@@ -65,6 +69,8 @@
 	ejections           int
 	ejectedUntil        time.Time
 	rampStart           time.Time
+	// pausedUntil is when the pause ends that the replica asked for.
+	pausedUntil time.Time
 }
 
 // New returns a picker that uses the real clock and random numbers.
@@ -269,10 +275,10 @@
 }
 
 // Forget drops the state of a replica that no longer exists, unless attempts
-// are outstanding.
+// are outstanding or it is paused.
 func (picker *Picker) Forget(address string) {
 	picker.states.withShard(address, func(states map[string]*state) {
-		if state := states[address]; state != nil && state.outstanding == 0 {
+		if state := states[address]; state != nil && state.outstanding == 0 && !picker.Now().Before(state.pausedUntil) {
 			delete(states, address)
 		}
 	})
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -55,8 +55,12 @@
 	// state; it may be nil.
 	Changed func(replica Replica, change string)
 
-	mu       sync.Mutex
-	history  history
+	mu      sync.Mutex
+	history history
+	// evacuated holds the failure domains whose replicas accept no requests.
+	evacuated map[string]bool
+	// leaving holds the incarnations of replicas that said in a reply that they leave.
+	leaving  map[string]leavingReply
 	replicas map[string]Replica
 	// list is the list as last read.
 	list []Replica
@@ -163,6 +167,7 @@
 		}
 	}
 	roster.replicas = next
+	roster.forgetLeaving(now)
 	roster.publish(now)
 }
 
@@ -216,7 +221,7 @@
 			delete(roster.misplacedAt, id)
 			misplaced = false
 		}
-		if !replica.Leaving && !misplaced {
+		if !replica.Leaving && !misplaced && !roster.evacuated[replica.FailureDomain] && !roster.saidLeaving(replica) {
 			byService[replica.Service] = append(byService[replica.Service], replica)
 		}
 	}
--- a/route/route.go
+++ b/route/route.go
@@ -173,3 +173,19 @@
 	}
 	return nil
 }
+
+// Homes returns the regions that routes and workspaces name as their homes, each
+// once.
+func (table *Table) Homes() []string {
+	var homes []string
+	for _, routes := range table.byHost {
+		for _, route := range routes {
+			homes = append(homes, route.Homes...)
+		}
+	}
+	for _, workspace := range table.workspaceNames {
+		homes = append(homes, workspace.Homes...)
+	}
+	slices.Sort(homes)
+	return slices.Compact(homes)
+}
