--- a/roster/excluded_test.go
+++ b/roster/excluded_test.go
@@ -67,10 +67,16 @@
 	}
 }
 
-// A late reply of a process that has since restarted says nothing of the new one.
+// A late reply of a process that has since restarted says nothing of the new one, and
+// does not replace what that one said.
 func TestSaidLeavingBeforeRestart(t *testing.T) {
 	replicas, _ := newRoster()
 	replicas.Update([]roster.Replica{entry(6, 1, "ready")})
 	replicas.ReportLeaving(entry(5, 9, "ready"))
 	qt.Assert(t, replicas.Accepts("desk", "a"), qt.IsTrue)
+	replicas.ReportLeaving(entry(6, 1, "ready"))
+	replicas.ReportLeaving(entry(5, 9, "ready"))
+	replicas.Confirm()
+	replicas.Update([]roster.Replica{entry(6, 2, "ready")})
+	qt.Assert(t, replicas.Accepts("desk", "a"), qt.IsFalse)
 }
