--- a/peer/delegator.go
+++ b/peer/delegator.go
@@ -94,6 +94,7 @@
 		Workspace:     request.Workspace.NameOrEmpty(),
 		ElapsedMicros: now.Sub(request.Received).Microseconds(),
 		LeftMicros:    request.Deadline.Sub(now).Microseconds(),
+		Homes:         request.Homes(),
 	}
 	for name, values := range request.Content.Header {
 		for _, value := range values {
@@ -147,6 +148,7 @@
 		Rank:          request.Rank,
 		Shards:        request.Shards,
 		TopK:          request.TopK,
+		Homes:         request.Homes,
 	}
 	answer := delegator.Dispatcher.Serve(ctx, &dispatch.Request{
 		ID:    request.RequestID,
--- a/peer/peer_test.go
+++ b/peer/peer_test.go
@@ -98,7 +98,7 @@
 				delegator.Ejected = test.ejected
 			}
 			seen := make(map[string]bool)
-			bundles := delegator.Plan(&dispatch.Request{Route: &route.Route{Shards: shards(test.shards)}})
+			bundles := delegator.Plan(&dispatch.Request{Route: &route.Route{Shards: shards(test.shards)}}, nil)
 			for _, bundle := range bundles {
 				qt.Assert(t, len(bundle.Shards) <= 24, qt.IsTrue)
 				qt.Assert(t, bundle.Peer != "h0-0", qt.IsTrue)
@@ -296,7 +296,7 @@
 			delegator := newDelegator(hosts)
 			delegator.Cores = test.self
 			own, local, remote := test.shards, 0, 0
-			for _, bundle := range delegator.Plan(&dispatch.Request{Route: &route.Route{Shards: shards(test.shards), LatencyTarget: test.target}}) {
+			for _, bundle := range delegator.Plan(&dispatch.Request{Route: &route.Route{Shards: shards(test.shards), LatencyTarget: test.target}}, nil) {
 				own -= len(bundle.Shards)
 				if bundle.Remote {
 					remote++
@@ -322,7 +322,7 @@
 	delegator := newDelegator(hosts)
 	delegator.Cores = 0.1
 	delegator.Ejected = func(string) bool { return true }
-	for _, bundle := range delegator.Plan(&dispatch.Request{Route: &route.Route{Shards: shards(90), LatencyTarget: 100 * time.Millisecond}}) {
+	for _, bundle := range delegator.Plan(&dispatch.Request{Route: &route.Route{Shards: shards(90), LatencyTarget: 100 * time.Millisecond}}, nil) {
 		qt.Check(t, bundle.Remote, qt.IsFalse)
 	}
 }
--- a/peer/plan.go
+++ b/peer/plan.go
@@ -37,15 +37,20 @@
 // has no replica in this host's failure domain, goes to a domain that has one;
 // a greedy choice keeps the number of domains small. Local shards are bundled
 // when there are too many of them for this host: all of them for peers with several
-// times its processor time if there are any, or else those that exceed its part.
-func (delegator *Delegator) Plan(request *dispatch.Request) []dispatch.Bundle {
+// times its processor time if there are any, or else those that exceed its part. Peers
+// and replicas of failure domains that are not allowed get none; a nil function allows
+// all.
+func (delegator *Delegator) Plan(request *dispatch.Request, allows func(domain string) bool) []dispatch.Bundle {
+	if allows == nil {
+		allows = func(string) bool { return true }
+	}
 	shards, target := request.Route.Shards, request.Route.LatencyTarget
-	peers := delegator.availablePeers()
+	peers := delegator.availablePeers(allows)
 	var gatherers []shard.Host
 	if len(shards) > max(maxShardsPerHost, shardCapacity(delegator.Cores, target)) {
 		gatherers = largerHosts(peers[delegator.Domain], delegator.Cores)
 	}
-	remote := delegator.remoteShards(shards, len(gatherers) > 0)
+	remote := delegator.remoteShards(shards, len(gatherers) > 0, allows)
 	if len(remote) < minRemoteShards && len(shards) <= maxShardsPerHost {
 		return nil
 	}
@@ -169,14 +174,14 @@
 // remoteShards returns the shards without a replica in this host's failure
 // domain, with the domains of their replicas. Replicas that are ejected don't count,
 // but for those of this domain if withEjected is set.
-func (delegator *Delegator) remoteShards(shards []string, withEjected bool) map[string][]string {
+func (delegator *Delegator) remoteShards(shards []string, withEjected bool, allows func(domain string) bool) map[string][]string {
 	remote := make(map[string][]string)
 	for _, shard := range shards {
 		local := false
 		var domains []string
 		for _, replica := range delegator.Replicas(shard) {
 			isLocal := replica.FailureDomain == delegator.Domain
-			if !(isLocal && withEjected) && delegator.Ejected(replica.ID) {
+			if !allows(replica.FailureDomain) || !(isLocal && withEjected) && delegator.Ejected(replica.ID) {
 				continue
 			}
 			local = local || isLocal
@@ -189,11 +194,12 @@
 	return remote
 }
 
-// availablePeers returns the peers that are not ejected, by failure domain.
-func (delegator *Delegator) availablePeers() map[string][]shard.Host {
+// availablePeers returns the peers of allowed failure domains that are not ejected, by
+// failure domain.
+func (delegator *Delegator) availablePeers(allows func(domain string) bool) map[string][]shard.Host {
 	available := make(map[string][]shard.Host)
 	for _, peer := range delegator.Peers() {
-		if peer.Name != delegator.Name && !delegator.Picker.Status(peer.Name).Ejected {
+		if peer.Name != delegator.Name && allows(peer.FailureDomain) && !delegator.Picker.Status(peer.Name).Ejected {
 			available[peer.FailureDomain] = append(available[peer.FailureDomain], peer)
 		}
 	}
--- a/peer/stop_test.go
+++ b/peer/stop_test.go
@@ -221,7 +221,7 @@
 	asker, other := test.newHost(test.work, ran), test.newHost(test.peerWork, ran)
 	asker.Dial = other.dial
 	dispatcher := asker.delegator.Dispatcher
-	dispatcher.Plan = func(request *dispatch.Request) []dispatch.Bundle {
+	dispatcher.Plan = func(request *dispatch.Request, _ func(string) bool) []dispatch.Bundle {
 		return []dispatch.Bundle{{Peer: "peer", Shards: request.Route.Shards[:test.bundled], Remote: true}}
 	}
 	dispatcher.Delegate = asker.delegator.Delegate
