share, rank, exchange, dispatch: divide room that is short among workspaces

Change: package share holds decayed counts with max-min shares, and a queue in which the workspaces of a rank take turns (start-time fair queueing). The throttle refuses first those that send more than their fair share, none more than to 0.3 of the average. A workspace that sends clearly more than an equal share gets no retry and no hedge from the lower half of a service's budget. Requests without a workspace are admitted and queued as before: rapid compares throttle and queue with copies of the former ones, to the last bit. Ruled out: first in, first out until someone is late (others wait until just before they are late); one pop in eight for the oldest (the hot workspace starves).

--- a/dispatch/attempt.go
+++ b/dispatch/attempt.go
@@ -237,14 +237,28 @@
 		part.unreachable++
 		return run.startAttempt(index, false)
 	}
-	if !run.dispatcher.budget(part.service).Take() {
-		part.notRetried = "budget spent"
+	if part.notRetried = run.takeExtra(part.service); part.notRetried != "" {
 		return false
 	}
 	run.retries++
 	return run.startAttempt(index, false)
 }
 
+// takeExtra takes a token for an extra attempt at a service. It returns why there is
+// none, or an empty string. A workspace that sends more than its share gets none of
+// the last half of the budget.
+func (run *run) takeExtra(service string) (obstacle string) {
+	budget := run.dispatcher.budget(service)
+	workspace := run.request.Workspace
+	if workspace != nil && budget.UnderHalf() && run.dispatcher.throttle(run.parts[0].service).AboveShare(workspace.Name) {
+		return "workspace above its share"
+	}
+	if !budget.Take() {
+		return "budget spent"
+	}
+	return ""
+}
+
 // retryObstacle returns why a failed attempt can't be retried whatever the budget
 // is, or an empty string.
 func (run *run) retryObstacle(part *part, failure *verdict.Failure) string {
@@ -278,7 +292,7 @@
 		if part.mayHaveRun >= run.request.Route.MaxAttempts || len(run.candidates(part)) == 0 {
 			continue
 		}
-		if run.dispatcher.budget(part.service).Take() && run.startAttempt(index, true) {
+		if run.takeExtra(part.service) == "" && run.startAttempt(index, true) {
 			run.hedges++
 		}
 	}
--- a/dispatch/bundle.go
+++ b/dispatch/bundle.go
@@ -195,7 +195,7 @@
 		budget.RecordFirst(1)
 		return run.startAttempt(index, false)
 	}
-	if !run.repeatable(part, sentBundle) || !budget.Take() {
+	if !run.repeatable(part, sentBundle) || run.takeExtra(part.service) != "" {
 		return false
 	}
 	part.mayHaveRun++
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -318,10 +318,13 @@
 	if refusal := run.refuseUnlessServable(); refusal != nil {
 		return refusal
 	}
+	throttle := dispatcher.throttle(run.parts[0].service)
+	if request.Workspace != nil {
+		throttle.RecordArrival(request.Workspace.Name)
+	}
 	// The peer has already admitted a request that it sends here.
 	if !request.fromPeer() {
-		throttle := dispatcher.throttle(run.parts[0].service)
-		if admitted, refusalProbability := throttle.Admit(request.Rank()); !admitted {
+		if admitted, refusalProbability := throttle.Admit(request.Rank(), request.Workspace.NameOrEmpty()); !admitted {
 			return run.refuse(refusalProbability)
 		}
 		defer dispatcher.trackTarget(throttle, run)()
--- a/dispatch/result.go
+++ b/dispatch/result.go
@@ -225,6 +225,7 @@
 	}
 	run.dispatcher.Observe(metric.Request{
 		Route:         run.request.Route.Name,
+		Workspace:     run.request.Workspace.NameOrEmpty(),
 		Rank:          run.request.Rank(),
 		Outcome:       outcome,
 		ShardsLeftOut: len(run.parts) - run.answered,
--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -58,6 +58,9 @@
 	MaxOpen int
 	// Rank is the request's priority; 0 is the most urgent.
 	Rank int
+	// Workspace is the workspace that the request belongs to, empty if it has none.
+	// Those of a rank take turns.
+	Workspace string
 	// Due is when the response is due, the zero time if there is no such limit.
 	Due time.Time
 }
--- a/exchange/pool.go
+++ b/exchange/pool.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"fescuehall/quota"
+	"fescuehall/share"
 	"fescuehall/shutdown"
 	"fescuehall/verdict"
 )
@@ -50,7 +51,7 @@
 	open    int
 	maxOpen int
 	window  window
-	waiters waitList
+	waiters share.Queue[*conn]
 	// responseTime is the average time from sending a request to its response.
 	responseTime time.Duration
 }
@@ -92,11 +93,12 @@
 		pool.mu.Unlock()
 		return pool.openIfNil(ctx, destination.Address, conn)
 	}
-	waiter := &waiter{rank: destination.Rank, due: destination.Due, granted: make(chan *conn, 1)}
-	server.waiters.add(waiter)
+	// It is granted a connection, or nil as permission to open one.
+	waiter := &share.Waiter[*conn]{Rank: destination.Rank, Workspace: destination.Workspace, Due: destination.Due, Granted: make(chan *conn, 1)}
+	server.waiters.Add(waiter)
 	pool.mu.Unlock()
 	select {
-	case conn := <-waiter.granted:
+	case conn := <-waiter.Granted:
 		if !pool.admits(destination.Address) {
 			pool.giveBack(destination.Address, conn)
 			return nil, stoppingFailure(destination.Address)
@@ -143,11 +145,11 @@
 func (server *server) grant(now time.Time) {
 	for server.canUse() {
 		// A request that is sent now is answered after the response time.
-		waiter := server.waiters.pop(now.Add(server.responseTime))
+		waiter := server.waiters.Pop(now.Add(server.responseTime))
 		if waiter == nil {
 			return
 		}
-		waiter.granted <- server.take(now)
+		waiter.Granted <- server.take(now)
 	}
 }
 
@@ -214,14 +216,14 @@
 
 // cancelWait removes a waiter. If the waiter was served meanwhile, its
 // connection or permission to open one goes back to the pool.
-func (pool *Pool) cancelWait(address string, waiter *waiter) {
+func (pool *Pool) cancelWait(address string, waiter *share.Waiter[*conn]) {
 	pool.mu.Lock()
-	removed := pool.server(address).waiters.remove(waiter)
+	removed := pool.server(address).waiters.Remove(waiter)
 	pool.mu.Unlock()
 	if removed {
 		return
 	}
-	pool.giveBack(address, <-waiter.granted)
+	pool.giveBack(address, <-waiter.Granted)
 }
 
 // giveBack returns what a waiter was granted: a connection, or nil as permission to
@@ -256,6 +258,21 @@
 	return dialer.DialContext(ctx, "tcp", address)
 }
 
+// Waiting returns how many requests of each workspace wait for a connection.
+func (pool *Pool) Waiting() map[string]int {
+	pool.mu.Lock()
+	defer pool.mu.Unlock()
+	waiting := make(map[string]int)
+	for _, server := range pool.servers {
+		server.waiters.Each(func(waiter *share.Waiter[*conn]) {
+			if waiter.Workspace != "" {
+				waiting[waiter.Workspace]++
+			}
+		})
+	}
+	return waiting
+}
+
 // releaseSlot lets a waiter open a connection in place of one that was closed.
 func (pool *Pool) releaseSlot(address string) {
 	pool.mu.Lock()
@@ -303,7 +320,7 @@
 		server.open--
 	}
 	server.idle = nil
-	if server.open == 0 && server.waiters.empty() {
+	if server.open == 0 && server.waiters.Empty() {
 		delete(pool.servers, address)
 	}
 }
--- a/metric/route.go
+++ b/metric/route.go
@@ -17,12 +17,15 @@
 	hedges        *expvar.Map
 	retries       *expvar.Map
 	latencies     Latencies
+	workspaces    Workspaces
 }
 
 // Request holds the figures of one finished request.
 type Request struct {
 	Route string
-	Rank  int
+	// Workspace is the workspace that sent the request, empty if it has none.
+	Workspace string
+	Rank      int
 	// Outcome names the request's result, such as answered, failed or refused.
 	Outcome string
 	// ShardsLeftOut is the number of shards that the answer does not cover.
@@ -45,6 +48,7 @@
 		expvar.Publish("RouteShardsLeftOut", routes.shardsLeftOut)
 		expvar.Publish("RouteHedges", routes.hedges)
 		expvar.Publish("RouteRetries", routes.retries)
+		expvar.Publish("WorkspaceOutcomes", expvar.Func(routes.workspaces.Outcomes))
 		expvar.Publish("RankLatencyMillis", expvar.Func(routes.latencies.Quantiles))
 	})
 	return routes
@@ -53,6 +57,9 @@
 // Observe records one finished request.
 func (routes *Routes) Observe(request Request) {
 	routes.requests.Add(request.Route, 1)
+	if request.Workspace != "" {
+		routes.workspaces.Observe(request.Workspace, request.Outcome)
+	}
 	routes.outcomes.Add(request.Route+"/"+request.Outcome, 1)
 	routes.shardsLeftOut.Add(request.Route, int64(request.ShardsLeftOut))
 	routes.hedges.Add(request.Route, int64(request.Hedges))
--- a/rank/throttle.go
+++ b/rank/throttle.go
@@ -4,14 +4,17 @@
 	"math"
 	"sync"
 	"time"
+
+	"fescuehall/share"
 )
 
 // Throttle refuses a part of the requests for services that can't answer all of
 // them in time. The probability of refusal depends on the share of requests
 // that were answered in time, as in the adaptive throttling of the SRE book's
 // chapter on overload. It also rises when requests of more urgent ranks are
-// late, so that the less urgent requests that delay them are refused first. Set
-// the fields before use.
+// late, so that the less urgent requests that delay them are refused first. Of a
+// rank's requests, those of workspaces that send more than their fair share are
+// refused first. Set the fields before use.
 type Throttle struct {
 	// Now is the clock.
 	Now func() time.Time
@@ -20,6 +23,9 @@
 
 	mu    sync.Mutex
 	ranks map[int]*rankCounts
+	// arrived counts the requests of workspaces of all ranks, also those that other
+	// hosts have admitted.
+	arrived share.Counts
 }
 
 const (
@@ -36,6 +42,10 @@
 	// minUrgentSamples is the number of completed requests of a more urgent rank
 	// from which its late answers are taken into account.
 	minUrgentSamples = 3
+	// leastServed is the share of a workspace's requests that are admitted at least,
+	// relative to that of all requests of its rank. Under a quarter counts as
+	// starved; the rest covers differences by chance.
+	leastServed = 0.3
 )
 
 // rankCounts counts the requests of one rank by outcome, with exponential
@@ -45,6 +55,8 @@
 	completed float64
 	inTime    float64
 	updatedAt time.Time
+	// sent counts the requests of each workspace, refused ones included.
+	sent share.Counts
 }
 
 // counts returns the counts of a rank, decayed to the current time.
@@ -54,7 +66,7 @@
 	}
 	counts := throttle.ranks[rank]
 	if counts == nil {
-		counts = &rankCounts{updatedAt: throttle.Now()}
+		counts = &rankCounts{updatedAt: throttle.Now(), sent: share.Counts{HalfLife: countHalfLife}}
 		throttle.ranks[rank] = counts
 	}
 	counts.decay(throttle.Now())
@@ -69,15 +81,19 @@
 	counts.updatedAt = now
 }
 
-// Admit decides whether to admit a request, and returns the probability with
-// which it was refused.
-func (throttle *Throttle) Admit(rank int) (admitted bool, refusalProbability float64) {
+// Admit decides whether to admit a request of a workspace, empty if it has none, and
+// returns the probability with which it was refused.
+func (throttle *Throttle) Admit(rank int, workspace string) (admitted bool, refusalProbability float64) {
 	throttle.mu.Lock()
 	defer throttle.mu.Unlock()
 	counts := throttle.counts(rank)
 	accepted := counts.inTime * throttleFactor * throttle.urgentFactor(rank)
 	total := counts.completed + counts.refused
 	refusalProbability = max(0, (total-accepted-alwaysAdmitted)/(total+1))
+	if workspace != "" {
+		counts.sent.Add(workspace, counts.updatedAt)
+		refusalProbability = 1 - counts.sent.Admitted(workspace, 1-refusalProbability, leastServed)
+	}
 	if throttle.Random() < refusalProbability {
 		counts.refused++
 		return false, refusalProbability
@@ -113,3 +129,20 @@
 		counts.inTime++
 	}
 }
+
+// RecordArrival records a request of a workspace that is served here, whichever host
+// has admitted it.
+func (throttle *Throttle) RecordArrival(workspace string) {
+	throttle.mu.Lock()
+	defer throttle.mu.Unlock()
+	throttle.arrived.HalfLife = countHalfLife
+	throttle.arrived.Add(workspace, throttle.Now())
+}
+
+// AboveShare reports whether more of the requests that arrive are of a workspace than
+// an equal share.
+func (throttle *Throttle) AboveShare(workspace string) bool {
+	throttle.mu.Lock()
+	defer throttle.mu.Unlock()
+	return throttle.arrived.Above(workspace, throttle.Now())
+}
--- a/rank/throttle_test.go
+++ b/rank/throttle_test.go
@@ -1,11 +1,13 @@
 package rank_test
 
 import (
+	"math"
 	"math/rand/v2"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
 
 	"fescuehall/rank"
 )
@@ -17,7 +19,7 @@
 	var admitted, total [2]float64
 	for step := range seconds * 10 {
 		for rank := range 2 {
-			ok, _ := throttle.Admit(rank)
+			ok, _ := throttle.Admit(rank, "")
 			if step >= (seconds-5)*10 {
 				total[rank]++
 				if ok {
@@ -78,7 +80,125 @@
 func TestRunningRequestsAreNotLate(t *testing.T) {
 	throttle, _ := newThrottle()
 	for range 100 {
-		admitted, _ := throttle.Admit(1)
+		admitted, _ := throttle.Admit(1, "")
 		qt.Assert(t, admitted, qt.IsTrue)
 	}
 }
+
+// formerThrottle is the throttle of release fd48fb6, which knew no workspaces.
+type formerThrottle struct {
+	now    func() time.Time
+	random func() float64
+	ranks  map[int]*formerCounts
+}
+
+type formerCounts struct {
+	refused, completed, inTime float64
+	updatedAt                  time.Time
+}
+
+func (throttle *formerThrottle) counts(rank int) *formerCounts {
+	now := throttle.now()
+	counts := throttle.ranks[rank]
+	if counts == nil {
+		counts = &formerCounts{updatedAt: now}
+		throttle.ranks[rank] = counts
+	}
+	factor := math.Exp2(-float64(now.Sub(counts.updatedAt)) / float64(1500*time.Millisecond))
+	counts.refused *= factor
+	counts.completed *= factor
+	counts.inTime *= factor
+	counts.updatedAt = now
+	return counts
+}
+
+func (throttle *formerThrottle) admit(rank int) (bool, float64) {
+	counts := throttle.counts(rank)
+	factor := 1.0
+	for other := range throttle.ranks {
+		if other >= rank {
+			continue
+		}
+		if urgent := throttle.counts(other); urgent.completed >= 3 {
+			factor = min(factor, 2.2*urgent.inTime/urgent.completed)
+		}
+	}
+	accepted := counts.inTime * 2.2 * factor
+	total := counts.completed + counts.refused
+	chance := max(0, (total-accepted-3)/(total+1))
+	if throttle.random() < chance {
+		counts.refused++
+		return false, chance
+	}
+	return true, chance
+}
+
+func (throttle *formerThrottle) recordResult(rank int, inTime bool) {
+	counts := throttle.counts(rank)
+	counts.completed++
+	if inTime {
+		counts.inTime++
+	}
+}
+
+// Without workspaces, every decision is that of the former throttle, to the last bit of
+// the probability, with the same random numbers.
+func TestThrottleWithoutWorkspacesIsAsBefore(t *testing.T) {
+	rapid.Check(t, func(r *rapid.T) {
+		seed := rapid.Uint64().Draw(r, "seed")
+		throttle, now := newThrottle()
+		throttle.Random = rand.New(rand.NewPCG(seed, 1)).Float64
+		former := &formerThrottle{now: throttle.Now, random: rand.New(rand.NewPCG(seed, 1)).Float64, ranks: make(map[int]*formerCounts)}
+		for range rapid.IntRange(1, 300).Draw(r, "steps") {
+			rank := rapid.IntRange(0, 2).Draw(r, "rank")
+			admitted, chance := throttle.Admit(rank, "")
+			wantAdmitted, wantChance := former.admit(rank)
+			if admitted != wantAdmitted || chance != wantChance {
+				r.Fatalf("%v with %v, want %v with %v", admitted, chance, wantAdmitted, wantChance)
+			}
+			if admitted {
+				inTime := rapid.IntRange(0, 3).Draw(r, "in time") == 0
+				throttle.RecordResult(rank, inTime)
+				former.recordResult(rank, inTime)
+			}
+			*now = now.Add(time.Duration(rapid.IntRange(0, 100).Draw(r, "ms")) * time.Millisecond)
+		}
+	})
+}
+
+// Load: two ranks, of which the less urgent one has room for 2 of 11; in each, one workspace sends ten
+// times as much as another. The more urgent rank is admitted whole, also the requests of
+// the workspace that sends most; of the other rank, that workspace is refused first.
+func TestRankGoesBeforeShares(t *testing.T) {
+	throttle, now := newThrottle()
+	type sender struct {
+		rank      int
+		workspace string
+	}
+	sent, admitted := make(map[sender]float64), make(map[sender]float64)
+	for range 3000 {
+		done := 0
+		for _, sender := range []sender{{0, "small"}, {0, "hot"}, {1, "small"}, {1, "hot"}} {
+			times := 1
+			if sender.workspace == "hot" {
+				times = 10
+			}
+			for range times {
+				sent[sender]++
+				if ok, _ := throttle.Admit(sender.rank, sender.workspace); ok {
+					admitted[sender]++
+					done += sender.rank
+					throttle.RecordResult(sender.rank, done <= 2)
+				}
+			}
+		}
+		*now = now.Add(20 * time.Millisecond)
+	}
+	share := func(rank int, workspace string) float64 {
+		return admitted[sender{rank, workspace}] / sent[sender{rank, workspace}]
+	}
+	qt.Check(t, share(0, "small"), qt.Equals, 1.0)
+	qt.Check(t, share(0, "hot"), qt.Equals, 1.0)
+	qt.Check(t, share(1, "small") > 0.95, qt.IsTrue, qt.Commentf("%.3f", share(1, "small")))
+	qt.Check(t, share(1, "hot") > 0.2 && share(1, "hot") < 0.6, qt.IsTrue, qt.Commentf("%.3f", share(1, "hot")))
+}
--- a/retry/retry.go
+++ b/retry/retry.go
@@ -77,6 +77,15 @@
 	return true
 }
 
+// UnderHalf reports whether less than half of the tokens are left that the budget
+// holds at most.
+func (budget *Budget) UnderHalf() bool {
+	budget.mu.Lock()
+	defer budget.mu.Unlock()
+	budget.fillOnce()
+	return budget.tokens < budget.Burst/2
+}
+
 // HasToken reports whether a whole token is left.
 func (budget *Budget) HasToken() bool {
 	budget.mu.Lock()
