--- a/feed/follower.go
+++ b/feed/follower.go
@@ -19,17 +19,21 @@
 	// itself. It is a little more than the intervals between reads and between
 	// fetches together.
 	maxListAge = 1500 * time.Millisecond
-	// maxOwnListAge is the age of this host's lists after which it reads them itself.
-	// It leaves time for the next host to take over as the reader, and, with the
-	// lag of a read, stays below the platform's shortest bound for replicas that
-	// leave, 3 s.
-	maxOwnListAge = 1900 * time.Millisecond
-	// maxConfigAge is the time since the store confirmed the configuration after
-	// which a host neither accepts it from another host nor does with its own, but
-	// reads the store. The reader confirms it once a second and followers fetch
-	// that within half a second. It bounds how late a host that can reach the store
-	// activates a change, whatever happens to the reader, and leaves time for a
-	// read that has to be repeated before the platform's shortest bound, 3 s.
+	// shortestBound is the shortest time in use within which a change must be known
+	// everywhere.
+	shortestBound = 3 * time.Second
+	// ownListAgeRatio is the age of this host's lists after which it reads them
+	// itself, as a share of that bound. It leaves time for the next host to take over
+	// as the reader, and for the lag of a read.
+	ownListAgeRatio = 0.63
+	// configAgeRatio is the time since the store confirmed the configuration after
+	// which a host reads it itself, as a share of that bound. The reader confirms it
+	// once a second and followers fetch that within half a second. It bounds how late
+	// a host that can reach the store activates a change, whatever happens to the
+	// reader, and leaves time for a read that has to be repeated.
+	configAgeRatio = 0.6
+	// maxConfigAge is the time since the store confirmed the configuration up to which
+	// a host accepts it from another host.
 	maxConfigAge = 1800 * time.Millisecond
 	// remoteListAge is the age of the lists at which a follower fetches from other
 	// failure domains, when no candidate of its own has had recent lists and its own
@@ -49,6 +53,11 @@
 	Domain string
 	// Now is a clock that also runs while the machine is suspended.
 	Now func() time.Time
+	// Bound is the time within which a change of the lists must be known on each host
+	// that can reach the store; 0 means shortestBound. With a longer one, hosts ask the
+	// store later when their reader fails, and a short outage of the store brings no
+	// calls of all hosts.
+	Bound time.Duration
 	// Hosts returns the hosts on the host list.
 	Hosts func() []shard.Host
 	// Version returns the version of the active configuration.
@@ -92,10 +101,15 @@
 	transfer     transfer
 }
 
+// share returns a share of a bound on how late changes are known.
+func share(ratio float64, bound time.Duration) time.Duration {
+	return time.Duration(ratio * float64(max(bound, shortestBound)))
+}
+
 // MustReadStore reports whether this host has to read the store itself: because
 // it is the reader, or because its lists are too old.
 func (follower *Follower) MustReadStore() bool {
-	limit := maxOwnListAge
+	limit := share(ownListAgeRatio, follower.Bound)
 	for i, host := range follower.ranking().candidates {
 		if host.Name != follower.Name {
 			continue
@@ -107,7 +121,7 @@
 			limit = maxListAge
 		}
 	}
-	return follower.Now().Sub(follower.readAt()) > limit
+	return follower.Now().Sub(follower.ReadAt()) > limit
 }
 
 // IsCandidate reports whether other hosts of the failure domain fetch from this one.
@@ -122,9 +136,9 @@
 	return fetched != nil && fetched.After(readAt)
 }
 
-// readAt returns when this host's lists were read from the store, by itself or by
+// ReadAt returns when this host's lists were read from the store, by itself or by
 // the host that it fetched them from.
-func (follower *Follower) readAt() time.Time {
+func (follower *Follower) ReadAt() time.Time {
 	readAt := follower.ListsReadAt()
 	if fetched := follower.fetchedReadAt.Load(); fetched != nil && fetched.After(readAt) {
 		return *fetched
@@ -173,7 +187,7 @@
 // own has no recent lists. A host that does so continues, since it then receives
 // only changes.
 func (follower *Follower) needsRemote() bool {
-	since := follower.readAt()
+	since := follower.ReadAt()
 	if since.Before(follower.firstFetchAt) {
 		since = follower.firstFetchAt
 	}
@@ -234,7 +248,7 @@
 		return fmt.Errorf("host %s has no recent lists, age %v", reply.Source, listAge+elapsed)
 	}
 	readAt := sentAt.Add(-listAge)
-	if readAt.Before(follower.readAt()) {
+	if readAt.Before(follower.ReadAt()) {
 		// Older lists may hold a replica that left.
 		return nil
 	}
--- a/suspect/suspect.go
+++ b/suspect/suspect.go
@@ -47,13 +47,18 @@
 
 	mu      sync.Mutex
 	streaks map[string]*streak
+	// late holds the streaks that may have a recent late reply.
+	late map[string]*streak
 	// reported contains the suspected names for which OnSuspected has been called.
 	reported map[string]bool
+	// recent is the memory in which Streaks sorts.
+	recent []message.Streak
 }
 
 func (tracker *Tracker) streak(name string) *streak {
 	if tracker.streaks == nil {
 		tracker.streaks = make(map[string]*streak)
+		tracker.late = make(map[string]*streak)
 		tracker.reported = make(map[string]bool)
 	}
 	tracked := tracker.streaks[name]
@@ -82,6 +87,7 @@
 		streak.firstLate = now
 	}
 	streak.lastLate = now
+	tracker.late[name] = streak
 	tracker.report(name, streak, now)
 }
 
@@ -129,9 +135,10 @@
 	tracker.mu.Lock()
 	defer tracker.mu.Unlock()
 	now := tracker.Now()
-	var streaks []message.Streak
-	for name, streak := range tracker.streaks {
+	streaks := tracker.recent[:0]
+	for name, streak := range tracker.late {
 		if streak.lastLate.IsZero() || now.Sub(streak.lastLate) >= streakExpiry {
+			delete(tracker.late, name)
 			continue
 		}
 		streaks = append(streaks, message.Streak{
@@ -144,7 +151,8 @@
 	slices.SortFunc(streaks, func(a, b message.Streak) int {
 		return cmp.Or(cmp.Compare(a.LastMillis, b.LastMillis), cmp.Compare(a.Name, b.Name))
 	})
-	return streaks[:min(len(streaks), maxStreaks)]
+	tracker.recent = streaks
+	return slices.Clone(streaks[:min(len(streaks), maxStreaks)])
 }
 
 // Merge merges the streaks received from another host. It is idempotent.
@@ -154,6 +162,7 @@
 	now := tracker.Now()
 	for _, received := range streaks {
 		local := tracker.streak(received.Name)
+		tracker.late[received.Name] = local
 		local.merge(streak{lastTimely: timeOfAge(now, received.TimelyMillis), firstLate: timeOfAge(now, received.FirstMillis), lastLate: timeOfAge(now, received.LastMillis)})
 		tracker.report(received.Name, local, now)
 	}
@@ -197,5 +206,6 @@
 	tracker.mu.Lock()
 	defer tracker.mu.Unlock()
 	delete(tracker.streaks, name)
+	delete(tracker.late, name)
 	delete(tracker.reported, name)
 }
