replica: estimate a replica from all that is known of it, each part by its age

Cause: the picker ranked replicas by its own average, with the queue as last reported, however old, and by the number of its own requests, however long they had been there.

Change: package estimate holds the parts and their ages as an immutable value. The picker adds how long a replica has been silent with requests of this host.

--- a/dispatch/attempt.go
+++ b/dispatch/attempt.go
@@ -125,7 +125,7 @@
 	sentAttempt.cancel()
 	latency := time.Since(sentAttempt.started)
 	failure := sentAttempt.reply.Failure
-	result := replica.Result{Latency: latency, QueueLength: sentAttempt.reply.Load.Waiting, Failed: failure != nil}
+	result := replica.Result{Latency: latency, Load: sentAttempt.reply.Load, Failed: failure != nil}
 	if failure != nil {
 		result.Unreachable = failure.Code == verdict.Unreachable
 		result.Cancelled = failure.Code == verdict.Cancelled
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -10,6 +10,7 @@
 	"sync"
 	"time"
 
+	"fescuehall/estimate"
 	"fescuehall/exchange"
 	"fescuehall/logbook"
 	"fescuehall/metric"
@@ -118,15 +119,6 @@
 	Replica roster.Replica
 }
 
-// Load is the load that a replica reports.
-type Load struct {
-	// Running and Waiting count the requests that run and that are queued.
-	Running int
-	Waiting int
-	// Slots is the number of requests that the replica runs at a time.
-	Slots int
-}
-
 // Reply is the outcome of an attempt.
 type Reply struct {
 	// Response is the replica's complete response, nil when none was received.
@@ -135,7 +127,7 @@
 	Receipt string
 	// Failure is nil for a success.
 	Failure *verdict.Failure
-	Load    Load
+	Load    estimate.Load
 }
 
 // Answer is the answer to a request.
--- a/query/shard.go
+++ b/query/shard.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"fescuehall/answer"
+	"fescuehall/estimate"
 	"fescuehall/message"
 	"fescuehall/rank"
 	"fescuehall/replica"
@@ -176,7 +177,7 @@
 	reply := completion.reply
 	latency := run.coordinator.Now().Sub(completion.attempt.started)
 	failure := failureOf(run.round, run.shard, completion)
-	result := replica.Result{Latency: latency, QueueLength: reply.Waiting, Failed: failure != nil}
+	result := replica.Result{Latency: latency, Load: estimate.Load{Waiting: reply.Waiting}, Failed: failure != nil}
 	if failure != nil {
 		result.Unreachable = failure.Code == verdict.Unreachable
 		run.combinedVerdict = max(run.combinedVerdict, failure.Verdict)
--- a/replica/picker.go
+++ b/replica/picker.go
@@ -1,11 +1,13 @@
-// Package replica selects a replica of a shard by what this host has measured
-// of each one. Load reports of backend servers are not used, since they lag.
+// Package replica selects a replica of a shard by what this host knows of each
+// one: what it has measured, what replicas report with replies, and what other
+// hosts of its failure domain have measured.
 package replica
 
 import (
-	"math"
 	"math/rand/v2"
 	"time"
+
+	"fescuehall/estimate"
 )
 
 const (
@@ -19,18 +21,12 @@
 	// rampDuration is how long a replica takes after an ejection to get its
 	// full share of requests again.
 	rampDuration = 5 * time.Second
-	// minSampleWeight is the minimum weight of a new sample in the average.
-	// averageTimeConstant is the time after which the history weighs 1/e: a
-	// host that sends one request a second to a replica has to learn from one
-	// sample.
-	minSampleWeight     = 1.0 / 8
-	averageTimeConstant = time.Second
 	// failurePenalty is the minimum time that a failed attempt is recorded
 	// with.
 	failurePenalty = 500 * time.Millisecond
-	// averageHalfLife is the time without a sample after which an average
-	// counts half.
-	averageHalfLife = 2 * time.Second
+	// maxSilence bounds the time without a reply that counts. It exceeds the pauses
+	// of replicas.
+	maxSilence = time.Second
 	// suspectPenalty is added to the score of a suspected replica. It exceeds
 	// the extra cost of another failure domain, so that requests move there,
 	// but lets the suspected replica take load when the others are busy.
@@ -56,11 +52,12 @@
 
 // state is what this host has measured of one replica.
 type state struct {
-	outstanding         int
-	picks               int
-	queueLength         int
-	average             time.Duration
-	measuredAt          time.Time
+	outstanding int
+	picks       int
+	estimate    estimate.Estimate
+	// silentSince is since when the replica has had requests of this host and has
+	// replied to none.
+	silentSince         time.Time
 	consecutiveFailures int
 	ejections           int
 	ejectedUntil        time.Time
@@ -83,6 +80,15 @@
 	})
 }
 
+// maxJudged is the number of replicas that Pick judges without an allocation.
+const maxJudged = 16
+
+// judged is a replica that may be picked.
+type judged struct {
+	index int
+	score float64
+}
+
 // Pick returns the index of the replica that gets the next attempt, and counts
 // the attempt as outstanding. It is the better of two random replicas, or the
 // best of all when Distance is set. Ejected replicas are picked only when no
@@ -91,90 +97,108 @@
 	if len(addresses) == 0 {
 		return -1
 	}
-	eligible := picker.eligible(addresses)
-	if len(eligible) == 0 {
-		chosen := picker.Random(len(addresses))
-		picker.Start(addresses[chosen])
-		return chosen
-	}
-	choose := picker.betterOfTwo
-	if picker.Distance != nil {
-		choose = picker.best
+	var buffer [maxJudged]judged
+	now := picker.Now()
+	eligible := picker.judge(buffer[:0], addresses, now)
+	chosen := 0
+	switch {
+	case len(eligible) == 0:
+		chosen = picker.Random(len(addresses))
+	case picker.Distance != nil:
+		chosen = picker.best(eligible)
+	default:
+		chosen = picker.betterOfTwo(eligible)
 	}
-	chosen := choose(addresses, eligible)
-	picker.Start(addresses[chosen])
+	picker.startAt(addresses[chosen], now)
 	return chosen
 }
 
 // betterOfTwo returns the better of two random replicas, so that hosts with the
 // same measurements do not all pick one replica.
-func (picker *Picker) betterOfTwo(addresses []string, eligible []int) int {
+func (picker *Picker) betterOfTwo(eligible []judged) int {
 	first := eligible[picker.Random(len(eligible))]
 	second := eligible[picker.Random(len(eligible))]
 	for len(eligible) > 1 && second == first {
 		second = eligible[picker.Random(len(eligible))]
 	}
-	if picker.score(addresses[second]) < picker.score(addresses[first]) {
-		return second
+	if second.score < first.score {
+		return second.index
 	}
-	return first
+	return first.index
 }
 
 // best returns the replica with the lowest score. Distances differ from host to
 // host, so that hosts do not all pick one replica.
-func (picker *Picker) best(addresses []string, eligible []int) int {
+func (picker *Picker) best(eligible []judged) int {
 	start := picker.Random(len(eligible))
-	chosen, lowest := -1, 0.0
+	best := eligible[start]
 	for offset := range eligible {
-		index := eligible[(start+offset)%len(eligible)]
-		if score := picker.score(addresses[index]); chosen < 0 || score < lowest {
-			chosen, lowest = index, score
+		if candidate := eligible[(start+offset)%len(eligible)]; candidate.score < best.score {
+			best = candidate
 		}
 	}
-	return chosen
+	return best.index
 }
 
 // Start counts an attempt as outstanding.
 func (picker *Picker) Start(address string) {
+	picker.startAt(address, picker.Now())
+}
+
+func (picker *Picker) startAt(address string, now time.Time) {
 	picker.withState(address, func(state *state) {
+		if state.outstanding == 0 {
+			state.silentSince = now
+		}
 		state.outstanding++
 		state.picks++
 	})
 }
 
-func (picker *Picker) eligible(addresses []string) []int {
-	var eligible []int
-	now := picker.Now()
+// judge appends the replicas that are not ejected, and those that are admitted
+// after an ejection, with their scores.
+func (picker *Picker) judge(eligible []judged, addresses []string, now time.Time) []judged {
 	for index, address := range addresses {
-		picker.withState(address, func(state *state) {
-			if now.Before(state.ejectedUntil) {
-				return
-			}
-			if picker.admitsRamp(state, now) {
-				eligible = append(eligible, index)
-			}
-		})
+		state := picker.snapshot(address)
+		if now.Before(state.ejectedUntil) || !picker.admitsRamp(&state, now) {
+			continue
+		}
+		eligible = append(eligible, judged{index: index, score: picker.score(&state, address, now)})
 	}
 	return eligible
 }
 
-// admitsRamp admits a replica after its ejection with a probability that grows
-// over rampDuration.
+// snapshot returns a copy of the state of a replica. It adds none.
+func (picker *Picker) snapshot(address string) (copied state) {
+	picker.states.withShard(address, func(states map[string]*state) {
+		if found := states[address]; found != nil {
+			copied = *found
+		}
+	})
+	return copied
+}
+
+// admitsRamp admits a replica after its ejection with the probability ramp.
 func (picker *Picker) admitsRamp(state *state, now time.Time) bool {
+	const steps = 1000
+	ramp := state.ramp(now)
+	return ramp >= 1 || picker.Random(steps) < int(steps*ramp)
+}
+
+// ramp is the probability with which a replica is admitted after its ejection. It
+// grows over rampDuration.
+func (state *state) ramp(now time.Time) float64 {
+	const minRamp = 0.05
 	elapsed := now.Sub(state.rampStart)
 	if state.rampStart.IsZero() || elapsed >= rampDuration {
-		return true
+		return 1
 	}
-	const steps = 1000
-	return picker.Random(steps) < max(steps/20, int(steps*elapsed/rampDuration))
+	return max(minRamp, float64(elapsed)/float64(rampDuration))
 }
 
 // score is the expected time of one more attempt, with penalties.
-func (picker *Picker) score(address string) (score float64) {
-	now := picker.Now()
-	picker.withState(address, func(state *state) {
-		score = float64(state.expectedTime(now)+1) * float64(1+state.outstanding+state.queueLength)
-	})
+func (picker *Picker) score(state *state, address string, now time.Time) float64 {
+	score := state.expectedTime(now)
 	if picker.Distance != nil {
 		score += float64(picker.Distance(address))
 	}
@@ -188,8 +212,8 @@
 type Result struct {
 	// Latency is the duration of the attempt.
 	Latency time.Duration
-	// QueueLength is the length of the replica's queue, as its reply gives it.
-	QueueLength int
+	// Load is the load that the replica reported with its reply.
+	Load estimate.Load
 	// Failed is set when the replica did not answer, or shed or refused the
 	// request.
 	Failed bool
@@ -207,9 +231,9 @@
 		state.outstanding--
 		switch {
 		case result.Cancelled:
-			state.addLowerBound(result.Latency, now)
+			state.estimate = state.estimate.WithLowerBound(result.Latency, now)
 		case result.Failed:
-			state.addSample(max(result.Latency, failurePenalty), now)
+			state.estimate = state.estimate.WithSample(max(result.Latency, failurePenalty), now)
 			state.recordFailure(result.Unreachable, now)
 		default:
 			state.recordSuccess(result, now)
@@ -217,29 +241,19 @@
 	})
 }
 
-// expectedTime is the average time, halved for each averageHalfLife without a
-// sample.
-func (state *state) expectedTime(now time.Time) time.Duration {
-	halvings := now.Sub(state.measuredAt) / averageHalfLife
-	return state.average >> min(halvings, 62)
+// expectedTime is the time that one more request is expected to take, in
+// nanoseconds.
+func (state *state) expectedTime(now time.Time) float64 {
+	return float64(max(state.estimate.Time(now), state.silence(now))+1) * (1 + float64(state.outstanding) + state.estimate.Waiting(now))
 }
 
-func (state *state) addSample(latency time.Duration, now time.Time) {
-	expected := state.expectedTime(now)
-	if expected <= time.Microsecond {
-		expected = latency
-	}
-	weight := max(minSampleWeight, 1-math.Exp(-float64(now.Sub(state.measuredAt))/float64(averageTimeConstant)))
-	state.average = time.Duration((1-weight)*float64(expected) + weight*float64(latency))
-	state.measuredAt = now
-}
-
-// addLowerBound adds a sample that is only a lower bound of the replica's time.
-// It counts when it exceeds the expected time.
-func (state *state) addLowerBound(latency time.Duration, now time.Time) {
-	if latency > state.expectedTime(now) {
-		state.addSample(latency, now)
+// silence is how long the replica has not replied to requests that it has, at most
+// maxSilence: its next reply takes at least that long.
+func (state *state) silence(now time.Time) time.Duration {
+	if state.outstanding == 0 {
+		return 0
 	}
+	return min(max(now.Sub(state.silentSince), 0), maxSilence)
 }
 
 // recordFailure ejects an unreachable replica at once, and others after
@@ -256,16 +270,16 @@
 	state.consecutiveFailures = 0
 	// failurePenalty in the average kept requests away until now; the ejection
 	// and the ramp do so from here on.
-	state.average = 0
+	state.estimate = state.estimate.WithoutTimes()
 }
 
 func (state *state) recordSuccess(result Result, now time.Time) {
 	state.consecutiveFailures = 0
-	state.queueLength = result.QueueLength
 	if now.Sub(state.rampStart) >= rampDuration {
 		state.ejections = 0
 	}
-	state.addSample(result.Latency, now)
+	state.silentSince = now
+	state.estimate = state.estimate.WithLoad(result.Load, now).WithSample(result.Latency, now)
 }
 
 // Forget drops the state of a replica that no longer exists, unless attempts
@@ -277,22 +291,3 @@
 		}
 	})
 }
-
-// Status is the state of a replica as operators see it.
-type Status struct {
-	Address     string
-	Outstanding int
-	Average     time.Duration
-	Ejected     bool
-}
-
-// Status returns the state of a replica.
-func (picker *Picker) Status(address string) Status {
-	status := Status{Address: address}
-	picker.withState(address, func(state *state) {
-		status.Outstanding = state.outstanding
-		status.Average = state.average
-		status.Ejected = picker.Now().Before(state.ejectedUntil)
-	})
-	return status
-}
--- a/replica/picker_test.go
+++ b/replica/picker_test.go
@@ -7,6 +7,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"fescuehall/estimate"
 	"fescuehall/replica"
 )
 
@@ -43,7 +44,7 @@
 		{name: "slow", bad: replica.Result{Latency: 100 * time.Millisecond}, maxPicks: 20},
 		{name: "sheds requests fast", bad: replica.Result{Latency: 10 * time.Microsecond, Failed: true}, maxPicks: 20},
 		{name: "unreachable", bad: replica.Result{Failed: true, Unreachable: true}, maxPicks: 10},
-		{name: "long queue", bad: replica.Result{Latency: 10 * time.Millisecond, QueueLength: 30}, maxPicks: 20},
+		{name: "long queue", bad: replica.Result{Latency: 10 * time.Millisecond, Load: estimate.Load{Waiting: 30}}, maxPicks: 20},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
