--- a/replica/explain.go
+++ b/replica/explain.go
@@ -19,6 +19,16 @@
 	Parts estimate.Parts
 }
 
+// snapshot returns a copy of the state of a replica. It adds none.
+func (picker *Picker) snapshot(address string) (copied state) {
+	picker.states.withShard(address, func(states map[string]*state) {
+		if found := states[address]; found != nil {
+			copied = *found
+		}
+	})
+	return copied
+}
+
 // Status returns the state of a replica. It changes no state.
 func (picker *Picker) Status(address string) Status {
 	state := picker.snapshot(address)
@@ -58,7 +68,7 @@
 	for i, address := range addresses {
 		state := picker.snapshot(address)
 		candidate := Candidate{Status: state.status(address, now), Ramp: state.ramp(now)}
-		candidate.Score = time.Duration(picker.score(&state, address, now))
+		candidate.Score = time.Duration(picker.withPenalties(state.expectedTime(now), address))
 		if picker.Distance != nil {
 			candidate.Distance = picker.Distance(address)
 		}
--- a/replica/picker.go
+++ b/replica/picker.go
@@ -159,29 +159,22 @@
 // after an ejection, with their scores.
 func (picker *Picker) judge(eligible []judged, addresses []string, now time.Time) []judged {
 	for index, address := range addresses {
-		state := picker.snapshot(address)
-		if now.Before(state.ejectedUntil) || !picker.admitsRamp(&state, now) {
-			continue
+		ejected, ramp, expected := false, 1.0, 1.0
+		picker.states.withShard(address, func(states map[string]*state) {
+			if state := states[address]; state != nil {
+				ejected, ramp, expected = now.Before(state.ejectedUntil), state.ramp(now), state.expectedTime(now)
+			}
+		})
+		if !ejected && picker.admitsRamp(ramp) {
+			eligible = append(eligible, judged{index: index, score: picker.withPenalties(expected, address)})
 		}
-		eligible = append(eligible, judged{index: index, score: picker.score(&state, address, now)})
 	}
 	return eligible
 }
 
-// snapshot returns a copy of the state of a replica. It adds none.
-func (picker *Picker) snapshot(address string) (copied state) {
-	picker.states.withShard(address, func(states map[string]*state) {
-		if found := states[address]; found != nil {
-			copied = *found
-		}
-	})
-	return copied
-}
-
 // admitsRamp admits a replica after its ejection with the probability ramp.
-func (picker *Picker) admitsRamp(state *state, now time.Time) bool {
+func (picker *Picker) admitsRamp(ramp float64) bool {
 	const steps = 1000
-	ramp := state.ramp(now)
 	return ramp >= 1 || picker.Random(steps) < int(steps*ramp)
 }
 
@@ -196,9 +189,10 @@
 	return max(minRamp, float64(elapsed)/float64(rampDuration))
 }
 
-// score is the expected time of one more attempt, with penalties.
-func (picker *Picker) score(state *state, address string, now time.Time) float64 {
-	score := state.expectedTime(now)
+// withPenalties returns the score of a replica: the expected time of one more attempt,
+// with penalties.
+func (picker *Picker) withPenalties(expected float64, address string) float64 {
+	score := expected
 	if picker.Distance != nil {
 		score += float64(picker.Distance(address))
 	}
