--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -10,6 +10,7 @@
 	"sync"
 	"time"
 
+	"fescuehall/estimate"
 	"fescuehall/exchange"
 	"fescuehall/logbook"
 	"fescuehall/metric"
@@ -121,15 +122,6 @@
 	Template *exchange.Template
 }
 
-// Load is the load that a replica reports.
-type Load struct {
-	// Running and Waiting count the requests that run and that are queued.
-	Running int
-	Waiting int
-	// Slots is the number of requests that the replica runs at a time.
-	Slots int
-}
-
 // Reply is the outcome of an attempt.
 type Reply struct {
 	// Response is the replica's complete response, nil when none was received.
@@ -138,7 +130,7 @@
 	Receipt string
 	// Failure is nil for a success.
 	Failure *verdict.Failure
-	Load    Load
+	Load    estimate.Load
 	// Leaving is set when the replica said that it leaves.
 	Leaving bool
 	// Pause is for how long the replica wants no requests.
