peer: test that bundles of missing shards stay at home too

Cause: with peers of other regions not left out, every test passed: only shards without any replica at home could be bundled to them. Change: a case with so many such shards that they are bundled. Result: the case fails without the check.

--- a/peer/homes_test.go
+++ b/peer/homes_test.go
@@ -24,7 +24,7 @@
 // serveHomed serves a request with homes on a host in a failure domain. It returns the
 // domains of the hosts and of the replicas that got it. Bundles are served by the code
 // of the peer that gets them.
-func serveHomed(t *testing.T, domain string, homes []string, workspace *route.Workspace) (hosts, used []string, answer *dispatch.Answer) {
+func serveHomed(t *testing.T, domain string, shardCount int, homes []string, workspace *route.Workspace) (hosts, used []string, answer *dispatch.Answer) {
 	var mu sync.Mutex
 	newDispatcher := func(domain string) *dispatch.Dispatcher {
 		dispatcher := &dispatch.Dispatcher{
@@ -58,7 +58,7 @@
 	}
 	asker.Dispatcher.Plan, asker.Dispatcher.Delegate = asker.Plan, asker.Delegate
 	request := newRequest()
-	request.Route.Shards, request.Route.MinShardShare, request.Route.Homes, request.Workspace = shards(40), 0.5, homes, workspace
+	request.Route.Shards, request.Route.MinShardShare, request.Route.Homes, request.Workspace = shards(shardCount), 0.5, homes, workspace
 	request.Route.LatencyTarget, request.Deadline = 2*time.Second, time.Now().Add(10*time.Second)
 	answer = asker.Dispatcher.Serve(t.Context(), request)
 	mu.Lock()
@@ -77,20 +77,22 @@
 	for _, test := range []struct {
 		name        string
 		domain      string
+		shards      int
 		homes       []string
 		workspace   *route.Workspace
 		hosts, used []string
 		answered    int
 	}{
-		{name: "no homes", domain: "d0", answered: 40},
-		{name: "at home", domain: "d0", homes: []string{"south"}, hosts: []string{"d0", "d1"}, used: []string{"d0", "d1"}, answered: 30},
-		{name: "away from home", domain: "d3", homes: []string{"south"}, hosts: []string{"d0", "d1"}, used: []string{"d0", "d1"}, answered: 30},
-		{name: "home of the workspace", domain: "d0", workspace: &route.Workspace{Homes: []string{"north"}}, hosts: []string{"d2", "d3"}, used: []string{"d2", "d3"}, answered: 30},
-		{name: "no region in common", domain: "d0", homes: []string{"south"}, workspace: &route.Workspace{Homes: []string{"north"}}},
-		{name: "unknown home", domain: "d0", homes: []string{"nowhere"}},
+		{name: "no homes", domain: "d0", shards: 40, answered: 40},
+		{name: "at home", domain: "d0", shards: 40, homes: []string{"south"}, hosts: []string{"d0", "d1"}, used: []string{"d0", "d1"}, answered: 30},
+		{name: "away from home", domain: "d3", shards: 40, homes: []string{"south"}, hosts: []string{"d0", "d1"}, used: []string{"d0", "d1"}, answered: 30},
+		{name: "away from home, with many shards that have no replica there", domain: "d3", shards: 120, homes: []string{"south"}, hosts: []string{"d0", "d1"}, used: []string{"d0", "d1"}, answered: 90},
+		{name: "home of the workspace", domain: "d0", shards: 40, workspace: &route.Workspace{Homes: []string{"north"}}, hosts: []string{"d2", "d3"}, used: []string{"d2", "d3"}, answered: 30},
+		{name: "no region in common", domain: "d0", shards: 40, homes: []string{"south"}, workspace: &route.Workspace{Homes: []string{"north"}}},
+		{name: "unknown home", domain: "d0", shards: 40, homes: []string{"nowhere"}},
 	} {
 		t.Run(test.name, func(t *testing.T) {
-			hosts, used, answer := serveHomed(t, test.domain, test.homes, test.workspace)
+			hosts, used, answer := serveHomed(t, test.domain, test.shards, test.homes, test.workspace)
 			if test.answered == 0 {
 				qt.Assert(t, answer.Failure != nil && answer.RetryAfter > 0, qt.IsTrue)
 				qt.Assert(t, len(hosts)+len(used), qt.Equals, 0)
