--- a/metric/route.go
+++ b/metric/route.go
@@ -64,5 +64,16 @@
 	routes.shardsLeftOut.Add(request.Route, int64(request.ShardsLeftOut))
 	routes.hedges.Add(request.Route, int64(request.Hedges))
 	routes.retries.Add(request.Route, int64(request.Retries))
-	routes.latencies.Observe("rank "+strconv.Itoa(request.Rank)+"/"+request.Outcome, request.Latency)
+	routes.latencies.Observe("rank "+rankLabel(request)+"/"+request.Outcome, request.Latency)
+}
+
+// maxRankLabel bounds the ranks of workspaces whose latencies are recorded apart, since
+// each workspace may have a rank of its own.
+const maxRankLabel = 64
+
+func rankLabel(request Request) string {
+	if request.Workspace != "" && request.Rank >= maxRankLabel {
+		return strconv.Itoa(maxRankLabel) + " and over"
+	}
+	return strconv.Itoa(request.Rank)
 }
--- a/rank/throttle.go
+++ b/rank/throttle.go
@@ -1,6 +1,7 @@
 package rank
 
 import (
+	"maps"
 	"math"
 	"sync"
 	"time"
@@ -46,6 +47,12 @@
 	// relative to that of all requests of its rank. Under a quarter counts as
 	// starved; the rest covers differences by chance.
 	leastServed = 0.3
+	// maxRanks is the number of ranks from which those without recent requests are
+	// dropped, so that neither memory nor the time for a request grows with the ranks
+	// that were ever used. idleHalfLives is the time without a request after which
+	// little is left of a rank's counts.
+	maxRanks      = 64
+	idleHalfLives = 16
 )
 
 // rankCounts counts the requests of one rank by outcome, with exponential
@@ -55,6 +62,8 @@
 	completed float64
 	inTime    float64
 	updatedAt time.Time
+	// usedAt is when a request of the rank was last admitted, refused or completed.
+	usedAt time.Time
 	// sent counts the requests of each workspace, refused ones included.
 	sent share.Counts
 }
@@ -66,6 +75,9 @@
 	}
 	counts := throttle.ranks[rank]
 	if counts == nil {
+		if len(throttle.ranks) >= maxRanks {
+			throttle.dropIdle()
+		}
 		counts = &rankCounts{updatedAt: throttle.Now(), sent: share.Counts{HalfLife: countHalfLife}}
 		throttle.ranks[rank] = counts
 	}
@@ -73,6 +85,14 @@
 	return counts
 }
 
+// dropIdle drops the ranks without recent requests.
+func (throttle *Throttle) dropIdle() {
+	now := throttle.Now()
+	maps.DeleteFunc(throttle.ranks, func(_ int, counts *rankCounts) bool {
+		return now.Sub(counts.usedAt) >= idleHalfLives*countHalfLife
+	})
+}
+
 func (counts *rankCounts) decay(now time.Time) {
 	factor := math.Exp2(-float64(now.Sub(counts.updatedAt)) / float64(countHalfLife))
 	counts.refused *= factor
@@ -87,6 +107,7 @@
 	throttle.mu.Lock()
 	defer throttle.mu.Unlock()
 	counts := throttle.counts(rank)
+	counts.usedAt = counts.updatedAt
 	accepted := counts.inTime * throttleFactor * throttle.urgentFactor(rank)
 	total := counts.completed + counts.refused
 	refusalProbability = max(0, (total-accepted-alwaysAdmitted)/(total+1))
@@ -124,12 +145,20 @@
 	throttle.mu.Lock()
 	defer throttle.mu.Unlock()
 	counts := throttle.counts(rank)
+	counts.usedAt = counts.updatedAt
 	counts.completed++
 	if inTime {
 		counts.inTime++
 	}
 }
 
+// Ranks returns the number of ranks that have counts.
+func (throttle *Throttle) Ranks() int {
+	throttle.mu.Lock()
+	defer throttle.mu.Unlock()
+	return len(throttle.ranks)
+}
+
 // RecordArrival records a request of a workspace that is served here, whichever host
 // has admitted it.
 func (throttle *Throttle) RecordArrival(workspace string) {
--- a/rank/throttle_test.go
+++ b/rank/throttle_test.go
@@ -202,3 +202,15 @@
 	qt.Check(t, share(1, "small") > 0.95, qt.IsTrue, qt.Commentf("%.3f", share(1, "small")))
 	qt.Check(t, share(1, "hot") > 0.2 && share(1, "hot") < 0.6, qt.IsTrue, qt.Commentf("%.3f", share(1, "hot")))
 }
+
+// Load: workspaces with ten thousand ranks, each used once a minute. Ranks without recent
+// requests leave nothing.
+func TestIdleRanksLeaveNothing(t *testing.T) {
+	throttle, now := newThrottle()
+	for number := range 10_000 {
+		throttle.Admit(number, "w")
+		throttle.RecordResult(number, true)
+		*now = now.Add(100 * time.Millisecond)
+	}
+	qt.Assert(t, throttle.Ranks() < 400, qt.IsTrue, qt.Commentf("%d ranks", throttle.Ranks()))
+}
