suspect: log a suspicion where it affects a choice

Change: a merged streak is reported by the first choice that it affects; an own late request is reported at once, as before. TestOnSuspected said that merging reports: it now checks that it doesn't, and that the first choice does, once. Result: TestOnSuspected failed with the report in Merge and passes without.

--- a/suspect/suspect.go
+++ b/suspect/suspect.go
@@ -41,8 +41,9 @@
 type Tracker struct {
 	// Now is the clock. Only differences are used.
 	Now func() time.Time
-	// OnSuspected, if not nil, is called when a replica or host becomes suspected,
-	// with the duration of its streak.
+	// OnSuspected, if not nil, is called with the duration of the streak when a replica
+	// or host is found to be suspected: by an own request, or by the first choice that
+	// another host's report affects.
 	OnSuspected func(name string, late time.Duration)
 
 	mu      sync.Mutex
@@ -155,7 +156,8 @@
 	return slices.Clone(streaks[:min(len(streaks), maxStreaks)])
 }
 
-// Merge merges the streaks received from another host. It is idempotent.
+// Merge merges the streaks received from another host. It is idempotent. It reports no
+// suspicion, since most hosts of a large fleet never choose among those replicas.
 func (tracker *Tracker) Merge(streaks []message.Streak) {
 	tracker.mu.Lock()
 	defer tracker.mu.Unlock()
@@ -164,7 +166,6 @@
 		local := tracker.streak(received.Name)
 		tracker.late[received.Name] = local
 		local.merge(streak{lastTimely: timeOfAge(now, received.TimelyMillis), firstLate: timeOfAge(now, received.FirstMillis), lastLate: timeOfAge(now, received.LastMillis)})
-		tracker.report(received.Name, local, now)
 	}
 }
 
--- a/suspect/suspect_test.go
+++ b/suspect/suspect_test.go
@@ -93,8 +93,8 @@
 	qt.Assert(t, first.Suspected("r") || second.Suspected("r"), qt.IsFalse)
 }
 
-// OnSuspected is called once when a replica becomes suspected, also through
-// streaks received from another host.
+// OnSuspected is called once when an own request shows that a replica is suspected, or
+// when the first choice is affected by streaks received from another host.
 func TestOnSuspected(t *testing.T) {
 	tracker, clock := newTracker()
 	calls := 0
@@ -104,7 +104,11 @@
 		clock.advance(200)
 	}
 	tracker.Merge([]message.Streak{{Name: "s", FirstMillis: 900, LastMillis: 100, TimelyMillis: -1}})
-	qt.Assert(t, calls, qt.Equals, 2)
+	qt.Assert(t, calls, qt.Equals, 1)
+	for range 2 {
+		qt.Assert(t, tracker.Suspected("s"), qt.IsTrue)
+		qt.Assert(t, calls, qt.Equals, 2)
+	}
 	tracker.RecordTimely("r")
 	qt.Assert(t, tracker.Suspected("r"), qt.IsFalse)
 	tracker.Forget("s")
