--- a/allowance/allowance_test.go
+++ b/allowance/allowance_test.go
@@ -77,6 +77,20 @@
 	}
 }
 
+// stop takes hosts off the list, as a graceful stop does, and starts them again.
+func stop(nodes func(fault, *world) []*node) func(fault, *world) func() {
+	return func(fault fault, world *world) func() {
+		for _, node := range nodes(fault, world) {
+			node.leaving, node.leaseUntil = true, time.Time{}
+		}
+		return func() {
+			for _, node := range nodes(fault, world) {
+				world.start(node, domains)
+			}
+		}
+	}
+}
+
 func one(fault fault, world *world) []*node { return []*node{fault.node(world)} }
 
 func domainOf(fault fault, world *world) []*node {
@@ -100,6 +114,7 @@
 var faults = map[string]func(fault, *world) (end func()){
 	"kill":        kill(one),
 	"herd kill":   kill(fault.set),
+	"herd pause":  each(fault.set, func(node *node, on bool) { node.frozen = on }),
 	"pause":       each(one, func(node *node, on bool) { node.frozen = on }),
 	"isolate":     each(one, func(node *node, on bool) { node.cut = on }),
 	"store cut":   each(fault.set, func(node *node, on bool) { node.storeCut = on }),
@@ -108,11 +123,8 @@
 	"lower":       setLimit(0.2),
 	"raise":       setLimit(1.5),
 	"split store": splitFromStore,
-	"stop": func(fault fault, world *world) func() {
-		node := fault.node(world)
-		node.leaving, node.leaseUntil = true, time.Time{}
-		return func() { world.start(node, domains) }
-	},
+	"stop":        stop(one),
+	"herd stop":   stop(fault.set),
 	"store down": func(_ fault, world *world) func() {
 		world.storeDown = true
 		return func() { world.storeDown = false }
@@ -221,6 +233,27 @@
 	}
 }
 
+// Each fault alone, with a limit so high that a few seconds of a second keeper exceed the
+// bound, and two of each kind that overlap.
+func TestEachFault(t *testing.T) {
+	for _, kind := range slices.Sorted(maps.Keys(faults)) {
+		for _, share := range []float64{0.3, 0.6} {
+			t.Run(fmt.Sprint(kind, " ", share), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					world := newWorld(24, domains, newLimit(100, 50), 3)
+					play(world, 60*time.Second, world.all(), 250, []fault{
+						{at: 15 * time.Second, length: 20 * time.Second, kind: kind, target: 1, share: share},
+						{at: 21 * time.Second, length: 25 * time.Second, kind: kind, target: 502, share: share},
+					})
+					excess, _, requests := world.worst()
+					t.Logf("%.0f below the bound, refused %d, unknown %d", -excess, world.refused, world.unknown)
+					qt.Assert(t, excess <= 0, qt.IsTrue, qt.Commentf("%d requests in a window, %.1f more than the bound", requests, excess))
+				})
+			})
+		}
+	}
+}
+
 // When nothing fails and more is wanted than allowed, nearly all of the allowance is
 // used, wherever the requests come in.
 func TestAllowanceIsUsed(t *testing.T) {
--- a/allowance/hosts.go
+++ b/allowance/hosts.go
@@ -78,14 +78,20 @@
 
 	// voting is closed when the vote in progress ends, nil when there is none.
 	voting chan struct{}
-	// confirmedAt is when a vote was last begun that was won, confirmedFor the list of
-	// hosts that it was about.
+	// confirmedAt is when a vote was last begun that was won, confirmedFor what it was
+	// about.
 	confirmedAt  time.Time
-	confirmedFor string
+	confirmedFor question
 	// votedAt is when one was last begun.
 	votedAt time.Time
 }
 
+// question is what a vote is about: a list of hosts, and whether it was recent.
+type question struct {
+	fingerprint string
+	recent      bool
+}
+
 // domainList is the hosts of this failure domain from a time on.
 type domainList struct {
 	placement *shard.Placement
@@ -252,7 +258,7 @@
 // at most one at a time.
 func (hosts *Hosts) confirmed(ctx context.Context, electorate electorate, recent bool) bool {
 	hosts.mu.Lock()
-	if !hosts.holds(electorate) && hosts.voting == nil && hosts.Now().Sub(hosts.votedAt) >= voteInterval/2 {
+	if !hosts.holds(electorate, recent) && hosts.voting == nil && hosts.Now().Sub(hosts.votedAt) >= voteInterval/2 {
 		hosts.voting, hosts.votedAt = make(chan struct{}), hosts.Now()
 		go hosts.takeVote(electorate, recent)
 	}
@@ -266,13 +272,13 @@
 	}
 	hosts.mu.Lock()
 	defer hosts.mu.Unlock()
-	return hosts.holds(electorate)
+	return hosts.holds(electorate, recent)
 }
 
 // holds reports whether a vote for an electorate's list was won and still holds. The
 // caller holds the lock.
-func (hosts *Hosts) holds(electorate electorate) bool {
-	return hosts.confirmedFor == electorate.fingerprint && hosts.Now().Sub(hosts.confirmedAt) < voteInterval
+func (hosts *Hosts) holds(electorate electorate, recent bool) bool {
+	return hosts.confirmedFor == (question{electorate.fingerprint, recent}) && hosts.Now().Sub(hosts.confirmedAt) < voteInterval
 }
 
 // takeVote takes a vote and records that it was won.
@@ -282,7 +288,7 @@
 	hosts.mu.Lock()
 	defer hosts.mu.Unlock()
 	if won {
-		hosts.confirmedAt, hosts.confirmedFor = begin, electorate.fingerprint
+		hosts.confirmedAt, hosts.confirmedFor = begin, question{electorate.fingerprint, recent}
 	}
 	close(hosts.voting)
 	hosts.voting = nil
--- a/allowance/model_test.go
+++ b/allowance/model_test.go
@@ -350,3 +350,12 @@
 	}
 	return greatest
 }
+
+// all returns the numbers of all nodes.
+func (world *world) all() []int {
+	var numbers []int
+	for i := range world.order {
+		numbers = append(numbers, i)
+	}
+	return numbers
+}
