--- a/allowance/keeper.go
+++ b/allowance/keeper.go
@@ -39,11 +39,15 @@
 	// line is the number of tokens that were asked for in vain and that will be
 	// asked for again.
 	line float64
+	// askedAt is when a host last asked.
+	askedAt time.Time
 }
 
 const (
-	// sweepInterval is how often full buckets are removed.
-	sweepInterval = 10 * time.Second
+	// sweepInterval is how often full buckets are removed that no host has asked for
+	// within idleBucketTime.
+	sweepInterval  = 10 * time.Second
+	idleBucketTime = 10 * time.Minute
 	// maxLine limits the tokens that count as asked for again, in seconds of the
 	// bucket's rate.
 	maxLine = 5
@@ -104,7 +108,7 @@
 		keeper.buckets[name] = kept
 	}
 	kept.advance(now)
-	kept.share, kept.level = part, min(kept.level, part.capacity)
+	kept.share, kept.level, kept.askedAt = part, min(kept.level, part.capacity), now
 	return kept
 }
 
@@ -130,8 +134,8 @@
 	}
 }
 
-// sweep removes buckets that are full, since a new one is soon as full, and those of
-// limits that this host does not keep. The caller holds the lock.
+// sweep removes idle buckets that are full and that a new one would equal, and those
+// of limits that this host does not keep. The caller holds the lock.
 func (keeper *Keeper) sweep(now time.Time) {
 	if keeper.buckets == nil {
 		keeper.buckets = make(map[string]*bucket)
@@ -145,7 +149,8 @@
 		begin, keeps := keeper.Hosts.Since(name)
 		sinceBegin := bucket.share.start + now.Sub(begin).Seconds()*bucket.share.rate
 		bucket.advance(now)
-		if !keeps || bucket.level >= bucket.share.capacity && sinceBegin >= bucket.share.capacity {
+		full := bucket.level >= bucket.share.capacity && sinceBegin >= bucket.share.capacity
+		if !keeps || full && now.Sub(bucket.askedAt) > idleBucketTime {
 			keeper.remove(name)
 		}
 	}
