allowance: begin as the keeper when the earlier one agrees or has ended

Cause: a host that becomes the keeper of a limit waits 3.5 s, since the earlier one may still grant. Change: it asks the earlier keepers whether they have its list of hosts, by which they grant nothing, and begins as soon as they have said so or their process has ended. One that does not answer is still waited for, and so is one that took over itself within the last 3.5 s without a known predecessor. Result: TestTakeoverOfAnEarlierKeeper, seen to fail without the release and without the check of the predecessor; the property tests of the bound pass.

--- a/allowance/hosts.go
+++ b/allowance/hosts.go
@@ -55,7 +55,7 @@
 	Registered func() bool
 	// Ended reports whether a host's process has ended: it refused a connection.
 	Ended func(host shard.Host) bool
-	// Ask sends an ask to another host.
+	// Ask sends an ask to another host; nil if there is no other.
 	Ask func(ctx context.Context, host shard.Host, ask *message.AllowanceAsk) (*message.AllowanceGrant, error)
 	// Shuffle shuffles n elements by swapping pairs, as rand.Shuffle does.
 	Shuffle func(n int, swap func(i, j int))
@@ -97,6 +97,20 @@
 	placement *shard.Placement
 	hosts     []shard.Host
 	from      time.Time
+	// released maps earlier keepers to the time from which they are known to grant
+	// nothing that this host keeps by this list. asked maps them to the time at which
+	// they were last asked.
+	released, asked map[string]time.Time
+}
+
+// keeper returns the name of the host that keeps a limit by the list, empty if there is
+// none.
+func (list *domainList) keeper(limit, domain string) string {
+	keepers := list.placement.HostsForRole(limit, domain, 1)
+	if len(keepers) == 0 {
+		return ""
+	}
+	return keepers[0].Name
 }
 
 // Update replaces the list of hosts.
@@ -127,7 +141,7 @@
 		from = now.Add(-takeoverTime)
 	}
 	hosts.fingerprint = fingerprint
-	hosts.lists = append(hosts.lists, domainList{placement: shard.New(local), hosts: local, from: from})
+	hosts.lists = append(hosts.lists, domainList{placement: shard.New(local), hosts: local, from: from, released: make(map[string]time.Time), asked: make(map[string]time.Time)})
 	hosts.forget(now)
 }
 
@@ -180,28 +194,79 @@
 }
 
 // Since returns the time from which this host grants tokens of a limit, by its lists,
-// and whether that time has come.
+// and whether that time has come: takeoverTime after it became the keeper, or sooner if
+// the earlier keepers have agreed.
 func (hosts *Hosts) Since(limit string) (time.Time, bool) {
 	hosts.mu.Lock()
 	defer hosts.mu.Unlock()
-	var from time.Time
-	for _, list := range slices.Backward(hosts.lists) {
-		keepers := list.placement.HostsForRole(limit, hosts.Domain, 1)
-		if len(keepers) == 0 || keepers[0].Name != hosts.Name {
-			break
-		}
-		from = list.from
+	first := len(hosts.lists)
+	for first > 0 && hosts.lists[first-1].keeper(limit, hosts.Domain) == hosts.Name {
+		first--
 	}
-	if from.IsZero() {
+	if first == len(hosts.lists) {
 		return time.Time{}, false
 	}
+	from := hosts.lists[first].from
 	if from.Before(hosts.since) {
 		from = hosts.since
 	}
 	begin := from.Add(takeoverTime)
+	if released, ok := hosts.releasedAt(first, limit); ok && released.Before(begin) {
+		begin = released
+	}
 	return begin, !hosts.Now().Before(begin)
 }
 
+// releasedAt returns the time from which no earlier keeper of a limit may grant, and
+// whether it is known: each host that kept the limit by a list of the takeoverTime before
+// this host did so has the latest list, or its process has ended. Those that were not
+// asked yet are asked in the background. The caller holds the lock.
+func (hosts *Hosts) releasedAt(first int, limit string) (time.Time, bool) {
+	list := &hosts.lists[first]
+	latest, all := list.from, true
+	settled := false
+	for i := first - 1; i >= 0 && !settled; i-- {
+		earlier := &hosts.lists[i]
+		settled = list.from.Sub(earlier.from) >= takeoverTime
+		keeper := earlier.keeper(limit, hosts.Domain)
+		if keeper == hosts.Name || keeper == "" {
+			continue
+		}
+		released, ok := list.released[keeper]
+		if !ok {
+			hosts.askRelease(list, earlier, keeper)
+			all = false
+		}
+		if released.After(latest) {
+			latest = released
+		}
+	}
+	return latest, all && settled
+}
+
+// askRelease asks an earlier keeper in the background whether it has the latest list, so
+// that it grants nothing more of what this host keeps. The caller holds the lock.
+func (hosts *Hosts) askRelease(list, earlier *domainList, name string) {
+	const interval = 200 * time.Millisecond
+	now := hosts.Now()
+	index := slices.IndexFunc(earlier.hosts, func(host shard.Host) bool { return host.Name == name })
+	if asked, ok := list.asked[name]; hosts.Ask == nil || index < 0 || ok && now.Sub(asked) < interval || now.Sub(list.from) > takeoverTime {
+		return
+	}
+	list.asked[name] = now
+	keeper, fingerprint, released := earlier.hosts[index], hosts.fingerprint, list.released
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), voteTimeout)
+		defer cancel()
+		if hosts.askVote(ctx, keeper, fingerprint, true) == voteNo {
+			return
+		}
+		hosts.mu.Lock()
+		defer hosts.mu.Unlock()
+		released[name] = hosts.Now()
+	}()
+}
+
 // Certain reports whether no other host of this failure domain can believe that it
 // keeps the same limits: the list of hosts is recent, or a majority of a sample of the
 // failure domain's hosts has the same list. If at least half of the hosts have left the
--- a/allowance/hosts_test.go
+++ b/allowance/hosts_test.go
@@ -1,12 +1,16 @@
 package allowance_test
 
 import (
+	"context"
+	"errors"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	qt "github.com/frankban/quicktest"
 
 	"fescuehall/allowance"
+	"fescuehall/message"
 	"fescuehall/shard"
 )
 
@@ -51,3 +55,57 @@
 		})
 	}
 }
+
+// A host that becomes the keeper of a limit begins as soon as the earlier one has
+// agreed or ended. Guards against seconds in which a failure domain's part of each moved
+// limit is refused, when hosts leave the list in turns.
+func TestTakeoverOfAnEarlierKeeper(t *testing.T) {
+	errUnreachable := errors.New("unreachable")
+	tests := []struct {
+		name string
+		// settled is how long the earlier host was the keeper before.
+		settled time.Duration
+		refused bool
+		err     error
+		ended   bool
+		atOnce  bool
+	}{
+		{name: "agrees", settled: 10 * time.Second, atOnce: true},
+		{name: "has another list", settled: 10 * time.Second, refused: true},
+		{name: "does not answer", settled: 10 * time.Second, err: errUnreachable},
+		{name: "has ended", settled: 10 * time.Second, err: errUnreachable, ended: true, atOnce: true},
+		{name: "agrees, but took over itself just before", settled: time.Second},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				asked := 0
+				hosts := &allowance.Hosts{
+					Name: "h1", Domain: "d", Now: time.Now,
+					Ended: func(shard.Host) bool { return test.ended },
+					Ask: func(_ context.Context, host shard.Host, ask *message.AllowanceAsk) (*message.AllowanceGrant, error) {
+						asked++
+						qt.Check(t, host.Name, qt.Equals, "h2")
+						qt.Check(t, ask.FailureDomain, qt.Equals, "d")
+						return &message.AllowanceGrant{Refused: test.refused}, test.err
+					},
+				}
+				hosts.Update([]shard.Host{{Name: "h2", FailureDomain: "d", KeepsAllowances: true}})
+				time.Sleep(test.settled)
+				hosts.Update([]shard.Host{{Name: "h1", FailureDomain: "d", KeepsAllowances: true}})
+				_, keeps := hosts.Since("limit")
+				qt.Check(t, keeps, qt.IsFalse)
+				synctest.Wait()
+				begin, keeps := hosts.Since("limit")
+				qt.Check(t, keeps, qt.Equals, test.atOnce)
+				qt.Check(t, asked, qt.Equals, 1)
+				time.Sleep(4 * time.Second)
+				later, keeps := hosts.Since("limit")
+				qt.Check(t, keeps, qt.IsTrue)
+				if test.atOnce {
+					qt.Check(t, later, qt.Equals, begin)
+				}
+			})
+		})
+	}
+}
