--- a/allowance/allowance_test.go
+++ b/allowance/allowance_test.go
@@ -205,6 +205,9 @@
 		t.Run(fmt.Sprint(count, " hosts"), func(t *testing.T) {
 			rapid.Check(t, func(r *rapid.T) {
 				limit := newLimit(rapid.Float64Range(0.1, 40).Draw(r, "rate"), rapid.Float64Range(0, 40).Draw(r, "burst"))
+				if rapid.Bool().Draw(r, "cold replica") {
+					limit = allowance.Limit{Rate: limit.Rate, Window: time.Second, Overage: 0.5, Slack: 5}
+				}
 				callers := rapid.SliceOfN(rapid.IntRange(0, count-1), 1, 12).Draw(r, "callers")
 				demand := limit.Rate*rapid.Float64Range(0.3, 7.5).Draw(r, "demand") + 1
 				var planned []fault
@@ -260,7 +263,10 @@
 	for _, test := range []struct {
 		hosts, callers int
 		rate, demand   float64
+		// cold is set for the limit of a cold replica.
+		cold bool
 	}{
+		{hosts: 60, callers: 46, rate: 8, demand: 30, cold: true},
 		{hosts: 6, callers: 1, rate: 18, demand: 40},
 		{hosts: 60, callers: 1, rate: 18, demand: 130},
 		{hosts: 60, callers: 46, rate: 18, demand: 130},
@@ -273,6 +279,9 @@
 		t.Run(fmt.Sprint(test), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				limit := newLimit(test.rate, test.rate)
+				if test.cold {
+					limit = allowance.Limit{Rate: test.rate, Window: time.Second, Overage: 0.5, Slack: 5}
+				}
 				world := newWorld(test.hosts, domains, limit, 7)
 				var callers []int
 				for i := range test.callers {
--- a/dispatch/attempt.go
+++ b/dispatch/attempt.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"fescuehall/allowance"
 	"fescuehall/replica"
 	"fescuehall/roster"
 	"fescuehall/verdict"
@@ -66,22 +67,29 @@
 	ctx     context.Context
 	cancel  context.CancelFunc
 	reply   *Reply
+	// waits is set if the replica is cold and the attempt waits for a token. ticket is
+	// its token, the zero value if the replica is not cold.
+	waits  bool
+	ticket allowance.Ticket
 }
 
 // startAttempt sends the next attempt of a part. It returns false when no
 // replica is left to try.
 func (run *run) startAttempt(index int, hedge bool) bool {
 	part := run.parts[index]
-	candidates := run.candidates(part)
-	ids := make([]string, len(candidates))
-	for i, candidate := range candidates {
+	choice := run.choice(run.candidates(part))
+	if choice.waits && hedge {
+		return false
+	}
+	ids := make([]string, len(choice.replicas))
+	for i, candidate := range choice.replicas {
 		ids[i] = candidate.ID
 	}
 	chosen := run.dispatcher.Picker.Pick(ids)
 	if chosen < 0 {
 		return false
 	}
-	sentAttempt := &sentAttempt{index: index, replica: candidates[chosen], started: time.Now()}
+	sentAttempt := &sentAttempt{index: index, replica: choice.replicas[chosen], started: time.Now(), waits: choice.waits, ticket: choice.take(run.dispatcher.Cold, chosen)}
 	sentAttempt.ctx, sentAttempt.cancel = context.WithCancel(run.ctx)
 	part.attempts = append(part.attempts, sentAttempt)
 	part.attempted[sentAttempt.replica.ID] = true
@@ -125,7 +133,7 @@
 // execute performs an attempt and records its result. The attempt may end after
 // the request was answered.
 func (run *run) execute(sentAttempt *sentAttempt) {
-	sentAttempt.reply = run.dispatcher.Send(sentAttempt.ctx, &Attempt{Request: run.request, Replica: sentAttempt.replica, Template: run.template})
+	sentAttempt.reply = run.send(sentAttempt)
 	sentAttempt.cancel()
 	latency := time.Since(sentAttempt.started)
 	failure := sentAttempt.reply.Failure
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -189,6 +189,8 @@
 	Picker *replica.Picker
 	// Suspects records which replicas reply late; it may be nil.
 	Suspects *suspect.Tracker
+	// Cold limits the requests to cold replicas; nil if there is no limit.
+	Cold *ColdLimits
 	// Random returns a number in [0, 1).
 	Random func() float64
 	// Event logs a decision.
--- a/feed/feed.go
+++ b/feed/feed.go
@@ -115,10 +115,15 @@
 	listed := make(map[string]bool, len(replicas))
 	for _, replica := range replicas {
 		listed[replica.ID] = true
-		if tracked, ok := feed.replicas[replica.ID]; !ok || !sameReplica(tracked.replica, replica) {
+		tracked, ok := feed.replicas[replica.ID]
+		coldAgain := replica.Warmup > tracked.replica.Warmup
+		switch {
+		case !ok || !sameReplica(tracked.replica, replica) || coldAgain:
 			feed.replicas[replica.ID] = trackedReplica{replica: replica, sequence: next}
 			delete(feed.removed, replica.ID)
 			feed.sequence = next
+		case replica.Warmup < tracked.replica.Warmup:
+			feed.replicas[replica.ID] = trackedReplica{replica: replica, sequence: tracked.sequence}
 		}
 	}
 	for id := range feed.replicas {
@@ -138,6 +143,7 @@
 // sequence, which differ at each read.
 func sameReplica(a, b roster.Replica) bool {
 	a.Warmup, b.Warmup = 0, 0
+	a.ColdUntil, b.ColdUntil = time.Time{}, time.Time{}
 	a.Sequence, b.Sequence = 0, 0
 	return a == b
 }
--- a/feed/feed_test.go
+++ b/feed/feed_test.go
@@ -120,7 +120,8 @@
 	qt.Assert(t, follower.MustReadStore(), qt.IsTrue)
 	qt.Assert(t, follower.FetchOnce(context.Background()), qt.IsNil)
 	qt.Assert(t, follower.MustReadStore(), qt.IsFalse)
-	qt.Assert(t, received.replicas, qt.DeepEquals, []roster.Replica{replica})
+	qt.Assert(t, received.replicas, qt.DeepEquals, []roster.Replica{replica.ReceivedAt(group.now)})
+	qt.Assert(t, received.replicas[0].ColdUntil, qt.Equals, group.now.Add(time.Second))
 	qt.Assert(t, received.configs, qt.Equals, 1)
 	// Unchanged lists are not sent again; a shorter remaining warm-up is no
 	// change.
@@ -132,6 +133,23 @@
 	group.readStore(reader, replica)
 	qt.Assert(t, follower.FetchOnce(context.Background()), qt.IsNil)
 	qt.Assert(t, received.replicas[0].Leaving, qt.IsTrue)
+	qt.Assert(t, received.replicas[0].ColdUntil.IsZero(), qt.IsTrue)
+	// A replica that is cold again is sent again, and is not cold for longer when the
+	// list is published again.
+	replica.Warmup, group.now = time.Second, group.now.Add(500*time.Millisecond)
+	coldUntil := group.now.Add(time.Second)
+	group.readStore(reader, replica)
+	qt.Assert(t, follower.FetchOnce(context.Background()), qt.IsNil)
+	qt.Assert(t, received.replicas[0].ColdUntil, qt.Equals, coldUntil)
+	group.now = group.now.Add(600 * time.Millisecond)
+	other := roster.Replica{ID: "b", Service: "s", Address: "2", FailureDomain: "d", Slots: 2}
+	replica.Warmup -= 600 * time.Millisecond
+	group.readStore(reader, replica, other)
+	qt.Assert(t, follower.FetchOnce(context.Background()), qt.IsNil)
+	qt.Assert(t, received.replicas, qt.HasLen, 2)
+	for _, replica := range received.replicas {
+		qt.Assert(t, replica.ColdUntil.IsZero() || replica.ColdUntil.Equal(coldUntil), qt.IsTrue)
+	}
 }
 
 func TestFollowerWithoutAReader(t *testing.T) {
--- a/feed/follower.go
+++ b/feed/follower.go
@@ -311,7 +311,7 @@
 		follower.replicas = make(map[string]roster.Replica, len(reply.Replicas))
 	}
 	for _, encoded := range reply.Replicas {
-		follower.replicas[encoded.ID] = decodeReplica(encoded)
+		follower.replicas[encoded.ID] = decodeReplica(encoded).ReceivedAt(follower.Now())
 	}
 	for _, id := range reply.Gone {
 		delete(follower.replicas, id)
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -40,6 +40,9 @@
 	Leaving bool
 	// Warmup is how much longer the replica will be slow after its start.
 	Warmup time.Duration
+	// ColdUntil is when that time ends by this host's clock, the zero time if it was
+	// over when the entry was received.
+	ColdUntil time.Time
 	// Incarnation is the start time of the process in Unix milliseconds. It
 	// changes when the replica restarts.
 	Incarnation int64
@@ -47,6 +50,16 @@
 	Sequence uint64
 }
 
+// ReceivedAt returns the replica with ColdUntil as it is if the entry was received at
+// a time.
+func (replica Replica) ReceivedAt(at time.Time) Replica {
+	replica.ColdUntil = time.Time{}
+	if replica.Warmup > 0 {
+		replica.ColdUntil = at.Add(replica.Warmup)
+	}
+	return replica
+}
+
 // Roster holds the registered replicas. Set the fields before use.
 type Roster struct {
 	// Now is the clock.
