--- a/allowance/tokens_test.go
+++ b/allowance/tokens_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -230,3 +231,35 @@
 		qt.Assert(t, keeper.Grant(t.Context(), ask).Refused, qt.IsTrue)
 	})
 }
+
+// What is known of limits that are not in use any more is forgotten, by the hosts that
+// took tokens and by the keeper. Figures are given of a bounded number of limits.
+func TestIdleLimitsAreForgotten(t *testing.T) {
+	const limits = 10_000
+	synctest.Test(t, func(t *testing.T) {
+		limit, readAt := newLimit(10, 10), time.Now()
+		keeper, hosts, alone := newKeeper(t, &limit, &readAt)
+		kept := 0
+		keeper.Changed = func(_, change string) { kept += map[string]int{"kept": 1, "left": -1}[change] }
+		hosts.Update(alone)
+		time.Sleep(5 * time.Second)
+		tokens := (&keepers{}).newTokens()
+		tokens.Domains, tokens.Keeper = domainNames(1), hosts.Keeper
+		tokens.Ask = func(ctx context.Context, _ shard.Host, ask *message.AllowanceAsk) (*message.AllowanceGrant, error) {
+			readAt = time.Now()
+			return keeper.Grant(ctx, ask), nil
+		}
+		take := func(name string) {
+			qt.Assert(t, tokens.Take(t.Context(), name, limit).Decision, qt.Equals, allowance.Allowed)
+		}
+		for i := range limits {
+			take(fmt.Sprint("workspace/", i))
+		}
+		qt.Assert(t, tokens.Counts(), qt.HasLen, 100)
+		qt.Assert(t, kept, qt.Equals, limits)
+		time.Sleep(11 * time.Minute)
+		take("workspace/other")
+		qt.Assert(t, tokens.Counts(), qt.HasLen, 1)
+		qt.Assert(t, kept, qt.Equals, 1)
+	})
+}
