allowance: apply lists of hosts one at a time

A list that is read from the store and one that is fetched from a peer can be passed to Hosts.Update at the same time. The one recorded as the latest and the one that decided on keepers could differ; the latest was then skipped as unchanged, so that this host went by the other until the list changed.

--- a/allowance/hosts.go
+++ b/allowance/hosts.go
@@ -63,6 +63,9 @@
 	// they no longer do ("sure"); it may be nil.
 	Changed func(state string, listAge time.Duration)
 
+	// updating is held during an update, so that updates don't overtake each other.
+	updating sync.Mutex
+
 	mu sync.Mutex
 	// latest is the latest list as it was passed to Update.
 	latest []shard.Host
@@ -95,6 +98,8 @@
 
 // Update replaces the list of hosts.
 func (hosts *Hosts) Update(list []shard.Host) {
+	hosts.updating.Lock()
+	defer hosts.updating.Unlock()
 	if !hosts.setLatest(list) {
 		return
 	}
--- a/allowance/hosts_test.go
+++ b/allowance/hosts_test.go
@@ -1,6 +1,8 @@
 package allowance_test
 
 import (
+	"fmt"
+	"sync"
 	"testing"
 	"time"
 
@@ -51,3 +53,25 @@
 		})
 	}
 }
+
+// Guards against a keeper by an old list for as long as the list does not change: of two
+// lists that arrive at the same time, one read and one fetched, the one that is passed
+// again afterwards holds.
+func TestUpdatesAtTheSameTime(t *testing.T) {
+	lists := [][]shard.Host{{{Name: "h1", FailureDomain: "d", KeepsAllowances: true}}, {{Name: "h2", FailureDomain: "d", KeepsAllowances: true}}}
+	for number := range 1000 {
+		lists[1] = append(lists[1], shard.Host{Name: fmt.Sprint("other", number), FailureDomain: "e", KeepsAllowances: true})
+	}
+	hosts := &allowance.Hosts{Name: "h1", Domain: "d", Now: time.Now}
+	for round := range 200 {
+		var group sync.WaitGroup
+		for _, list := range lists {
+			group.Go(func() { hosts.Update(list) })
+		}
+		group.Wait()
+		last := lists[round%len(lists)]
+		hosts.Update(last)
+		keeper, _ := hosts.Keeper("limit", "d")
+		qt.Assert(t, keeper.Name, qt.Equals, last[0].Name)
+	}
+}
