allowance: let keepers grant on when many lists were seen

With over 64 lists of a failure domain within ten minutes, each further change made this host wait 3.5 s before it granted tokens of any limit again, also of those that it kept by all of them: a domain of 33 hosts that restart in turn has as many changes, and no keeper grants while hosts come and go. The oldest list that is left is no earlier than the time from which the host keeps a limit by all of them, so nothing more is needed. TestKeeperStays failed after 63 changes before and passes after; allowance passes with -race, its model included.

--- a/allowance/hosts.go
+++ b/allowance/hosts.go
@@ -75,8 +75,7 @@
 	lists []domainList
 	// fingerprint identifies the latest of lists.
 	fingerprint string
-	// since is when this host last lost track of earlier lists.
-	since  time.Time
+	// unsure is set while this host's grants depend on votes.
 	unsure bool
 
 	// voting is closed when the vote in progress ends, nil when there is none.
@@ -151,15 +150,15 @@
 	return true
 }
 
-// forget removes lists that are too old or too many. The caller holds the lock.
+// forget removes lists that are too old or too many. A host that keeps a limit by all
+// lists that are left counts as its keeper since the first of them, which is no earlier
+// than it became that. The caller holds the lock.
 func (hosts *Hosts) forget(now time.Time) {
 	for len(hosts.lists) > 1 && now.Sub(hosts.lists[1].from) > memory {
 		hosts.lists = hosts.lists[1:]
 	}
 	if len(hosts.lists) > maxLists {
 		hosts.lists = hosts.lists[1:]
-		// The next bucket must not begin before an earlier one that is forgotten.
-		hosts.since = now
 	}
 }
 
@@ -194,9 +193,6 @@
 	if from.IsZero() {
 		return time.Time{}, false
 	}
-	if from.Before(hosts.since) {
-		from = hosts.since
-	}
 	begin := from.Add(takeoverTime)
 	return begin, !hosts.Now().Before(begin)
 }
--- a/allowance/hosts_test.go
+++ b/allowance/hosts_test.go
@@ -54,6 +54,29 @@
 	}
 }
 
+// Guards against seconds without a grant at each change of a large failure domain, for
+// example while its hosts are restarted one after the other: a host that stays a limit's
+// keeper grants on, however often the list changes.
+func TestKeeperStays(t *testing.T) {
+	now := time.Unix(1000, 0)
+	hosts := &allowance.Hosts{Name: "h1", Domain: "d", Now: func() time.Time { return now }}
+	both := []shard.Host{{Name: "h1", FailureDomain: "d", KeepsAllowances: true}, {Name: "h2", FailureDomain: "d", KeepsAllowances: true}}
+	hosts.Update(both)
+	limit := ""
+	for keeper, number := "", 0; keeper != "h1"; number++ {
+		limit = fmt.Sprint("limit", number)
+		found, _ := hosts.Keeper(limit, "d")
+		keeper = found.Name
+	}
+	now = now.Add(10 * time.Second)
+	for change := range 200 {
+		hosts.Update(both[:1+change%2])
+		_, keeps := hosts.Since(limit)
+		qt.Assert(t, keeps, qt.IsTrue, qt.Commentf("after %d changes", change))
+		now = now.Add(time.Second)
+	}
+}
+
 // Guards against a keeper by an old list for as long as the list does not change: of two
 // lists that arrive at the same time, one read and one fetched, the one that is passed
 // again afterwards holds.
