feed: read the lists before their age counts as an outage of the store

With a bound of 5 s or 6 s, a host without readers waited 3.15 s or 3.8 s before it read the lists itself. The roster takes 2.5 s without a list for an outage and keeps replicas that are missing from the list for 2.2 s more: one that had gone was sent requests for 5.4 s (bound 5 s) and 6.0 s (bound 6 s). The age is now at most 2.1 s; it stays 1.89 s with a bound of 3 s. Reads of the configuration stay as late as they were. Not measured: what this adds to the calls of the store in short outages. TestGoneReplicaWithoutReaders failed at 5 s and 6 s before and passes after.

--- a/feed/follower.go
+++ b/feed/follower.go
@@ -28,6 +28,10 @@
 	// itself, as a share of that bound. It leaves time for the next host to take over
 	// as the reader, and for the lag of a read.
 	ownListAgeRatio = 0.63
+	// maxOwnListAge bounds that age. It stays below the time without a list that the
+	// roster takes for an outage of the store, after which it keeps replicas that are
+	// missing from the list, and leaves time for the next check and the read.
+	maxOwnListAge = 2100 * time.Millisecond
 	// configAgeRatio is the time since the store confirmed the configuration after
 	// which a host reads it itself, as a share of that bound. The reader confirms it
 	// once a second and followers fetch that within half a second. It bounds how late
@@ -114,7 +118,7 @@
 // MustReadStore reports whether this host has to read the store itself: because
 // it is the reader, or because its lists are too old.
 func (follower *Follower) MustReadStore() bool {
-	limit := share(ownListAgeRatio, follower.Bound)
+	limit := min(share(ownListAgeRatio, follower.Bound), maxOwnListAge)
 	for i, host := range follower.ranking().candidates {
 		if host.Name != follower.Name {
 			continue
