feed, platform: read the list of hosts beside readers of an earlier release

A host of the previous release leaves out of the list of hosts who keeps limits. A host of this release whose failure domain's reader was one took that list: it knew no keeper, and answered 503 to each request of a workspace that has an allowance until the reader was rolled. It now reads that list itself as long as its source is such a host; replicas still come from there. The age of the list that keepers rely on is then that of the own lists, so that a keeper takes votes instead of trusting what it fetched. TestEarlierReleaseListsNoHosts failed with the source not told apart, and passes.

--- a/feed/evacuation_test.go
+++ b/feed/evacuation_test.go
@@ -84,3 +84,32 @@
 		qt.Check(t, evacuated, qt.DeepEquals, []string{"x"})
 	}
 }
+
+// Guards against limits that nobody keeps beside hosts of an earlier release, which leave
+// out of the list of hosts who keeps them: this host then reads that list itself.
+func TestEarlierReleaseListsNoHosts(t *testing.T) {
+	for _, earlier := range []bool{true, false} {
+		group := newGroup()
+		reader, _, name := group.roles()
+		follower, _ := group.follower(name)
+		group.feeds[name].Evacuations.Confirm(nil, group.now)
+		updates := 0
+		follower.UpdateHosts = func([]shard.Host) { updates++ }
+		send := follower.SendFetch
+		follower.SendFetch = func(ctx context.Context, host shard.Host, fetch *message.FeedFetch) (*message.FeedNews, error) {
+			reply, err := send(ctx, host, fetch)
+			if err == nil && earlier {
+				reply.EvacuationsKnown = false
+			}
+			return reply, err
+		}
+		sentAt := group.now.Add(-time.Second)
+		group.readStore(reader, roster.Replica{ID: "a"})
+		qt.Assert(t, follower.FetchOnce(context.Background()), qt.IsNil)
+		qt.Check(t, updates > 0, qt.Equals, !earlier)
+		qt.Check(t, follower.MustReadHosts(), qt.Equals, earlier)
+		qt.Check(t, follower.FetchedHostsSince(sentAt), qt.Equals, !earlier)
+		qt.Check(t, follower.HostsReadAt().After(sentAt), qt.Equals, !earlier)
+		qt.Check(t, follower.MustReadStore(), qt.IsFalse)
+	}
+}
--- a/feed/follower.go
+++ b/feed/follower.go
@@ -108,6 +108,9 @@
 	// firstFetchAt is when FetchOnce was first called.
 	firstFetchAt time.Time
 	transfer     transfer
+	// earlierSource is set while this host fetches from one of an earlier release,
+	// whose list of hosts leaves out what that release does not know.
+	earlierSource atomic.Bool
 }
 
 // share returns a share of a bound on how late changes are known.
@@ -133,6 +136,27 @@
 	return follower.Now().Sub(follower.ReadAt()) > limit
 }
 
+// MustReadHosts reports whether this host has to read the list of hosts itself: because
+// it has to read the store, or because it fetches from a host of an earlier release.
+func (follower *Follower) MustReadHosts() bool {
+	return follower.earlierSource.Load() || follower.MustReadStore()
+}
+
+// FetchedHostsSince reports whether a list of hosts was fetched that was read after a
+// time.
+func (follower *Follower) FetchedHostsSince(readAt time.Time) bool {
+	return !follower.earlierSource.Load() && follower.FetchedSince(readAt)
+}
+
+// HostsReadAt returns a time at which the list of hosts that this host has was still
+// valid.
+func (follower *Follower) HostsReadAt() time.Time {
+	if follower.earlierSource.Load() {
+		return follower.ListsReadAt()
+	}
+	return follower.ReadAt()
+}
+
 // IsCandidate reports whether other hosts of the failure domain fetch from this one.
 func (follower *Follower) IsCandidate() bool {
 	return slices.ContainsFunc(follower.ranking().candidates, func(host shard.Host) bool { return host.Name == follower.Name })
@@ -238,6 +262,7 @@
 	if reply.ConfigAgeMicros == neverRead || configAge+elapsed > maxConfigAge {
 		return false, fmt.Errorf("host %s has no recent configuration, age %v", host.Name, configAge+elapsed)
 	}
+	follower.earlierSource.Store(!reply.EvacuationsKnown)
 	confirmedAt := sentAt.Add(-configAge)
 	if err := follower.receiveEvacuations(reply, confirmedAt); err != nil {
 		return false, fmt.Errorf("host %s: %w", host.Name, err)
@@ -334,5 +359,7 @@
 func (follower *Follower) publish() {
 	follower.publishedAt = follower.Now()
 	follower.UpdateReplicas(slices.Collect(maps.Values(follower.replicas)))
-	follower.UpdateHosts(follower.hosts)
+	if !follower.earlierSource.Load() {
+		follower.UpdateHosts(follower.hosts)
+	}
 }
