--- a/allowance/model_test.go
+++ b/allowance/model_test.go
@@ -61,6 +61,8 @@
 	limits    []allowance.Limit
 	current   int
 	storeDown bool
+	// quiet is the time before the first request.
+	quiet time.Duration
 	// loss is the share of messages that are lost, delay the longest delay.
 	loss     float64
 	delay    time.Duration
@@ -350,3 +352,12 @@
 	}
 	return greatest
 }
+
+// all returns the numbers of all nodes.
+func (world *world) all() []int {
+	var numbers []int
+	for i := range world.order {
+		numbers = append(numbers, i)
+	}
+	return numbers
+}
