peer: count the hosts that gather when the list changes

List.Share went over all hosts twice at each call, under the lock of the list; each part of a query asks for it twice, for the budget of its service and for the limit of connections. Trial of a benchmark on this machine beside other work: 3.3 and 22.6 microseconds a call with 130 and 1,000 hosts before, under 0.1 after, beside 150 microseconds that a shard takes in all. TestSharesAddUp holds the values.

--- a/peer/list.go
+++ b/peer/list.go
@@ -38,6 +38,11 @@
 	peers         []shard.Host
 	lastSeen      map[string]seenHost
 	firstUpdateAt time.Time
+	// gatherers is the number of hosts in lastSeen that have gathererFactor times the
+	// cores of the smallest one, and smallest the cores of that. They are 0 if some
+	// cores are unknown.
+	gatherers int
+	smallest  float64
 }
 
 // seenHost is a host that was on the list.
@@ -66,6 +71,7 @@
 			delete(list.lastSeen, name)
 		}
 	}
+	list.countGatherers()
 }
 
 // Confirm records that the list was read again and is unchanged.
@@ -127,30 +133,29 @@
 	if list.firstUpdateAt.IsZero() || list.Now().Sub(list.firstUpdateAt) < startupTime {
 		return 1 / float64(max(startupHosts, hosts))
 	}
-	gatherers, smallest := list.countGatherers()
 	switch {
-	case gatherers == 0 || gatherers == hosts:
+	case list.gatherers == 0 || list.gatherers == hosts:
 		return 1 / float64(hosts)
-	case cores >= gathererFactor*smallest:
-		return gatherersShare / float64(gatherers)
+	case cores >= gathererFactor*list.smallest:
+		return gatherersShare / float64(list.gatherers)
 	}
-	return (1 - gatherersShare) / float64(hosts-gatherers)
+	return (1 - gatherersShare) / float64(hosts-list.gatherers)
 }
 
-// countGatherers returns the number of hosts that have gathererFactor times the cores
-// of the smallest one, and the cores of that. It returns 0 if some cores are unknown.
-func (list *List) countGatherers() (gatherers int, smallest float64) {
-	smallest = math.Inf(1)
+// countGatherers sets gatherers and smallest. Each attempt asks for a share, so they
+// are not counted then. The caller holds the lock.
+func (list *List) countGatherers() {
+	list.gatherers, list.smallest = 0, math.Inf(1)
 	for _, seen := range list.lastSeen {
-		smallest = min(smallest, seen.cores)
+		list.smallest = min(list.smallest, seen.cores)
 	}
-	if smallest <= 0 {
-		return 0, 0
+	if list.smallest <= 0 {
+		list.smallest = 0
+		return
 	}
 	for _, seen := range list.lastSeen {
-		if seen.cores >= gathererFactor*smallest {
-			gatherers++
+		if seen.cores >= gathererFactor*list.smallest {
+			list.gatherers++
 		}
 	}
-	return gatherers, smallest
 }
