dispatch: have the shards of a refused bundle wait for a pause to end

When a peer refused a bundle, or could not be reached, the shards whose replicas had all asked for a pause were left out at once, while those asked for directly from the start wait. TestRefusedBundleWaitsForPause missed one shard before and none after.

--- a/dispatch/bundle.go
+++ b/dispatch/bundle.go
@@ -186,14 +186,14 @@
 	}
 }
 
-// requestDirectly sends an attempt of a part after its bundle has failed. It
-// returns false when none may be sent.
+// requestDirectly sends an attempt of a part after its bundle has failed, or has the
+// part wait for the end of a pause. It returns false when none may be sent.
 func (run *run) requestDirectly(index int, sentBundle *sentBundle) bool {
 	part := run.parts[index]
 	budget := run.dispatcher.budget(part.service)
 	if sentBundle.failure.Verdict == verdict.NotRun {
 		budget.RecordFirst(1)
-		return run.startAttempt(index, false)
+		return run.startAttempt(index, false) || run.awaitPause(part)
 	}
 	if !run.repeatable(part, sentBundle) || run.takeExtra(part.service) != "" {
 		return false
--- a/dispatch/wishes_test.go
+++ b/dispatch/wishes_test.go
@@ -248,3 +248,24 @@
 		})
 	}
 }
+
+// Guards against shards that are left out when a peer refuses a bundle while their
+// replicas are paused: their first attempts wait for the end of a pause as well.
+func TestRefusedBundleWaitsForPause(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		defer time.Sleep(2 * time.Second)
+		dispatcher := newDispatcher(&fakeReplicas{})
+		dispatcher.Plan = func(*dispatch.Request, func(string) bool) []dispatch.Bundle {
+			return []dispatch.Bundle{{Peer: "peer", Shards: []string{"s1"}}}
+		}
+		dispatcher.Delegate = func(context.Context, *dispatch.Request, dispatch.Bundle, func(*dispatch.BundleReply)) *dispatch.BundleReply {
+			return &dispatch.BundleReply{Failure: newFailure(verdict.NotRun, verdict.Unreachable)}
+		}
+		for _, id := range []string{"s1a", "s1b"} {
+			dispatcher.Picker.Pause(id, time.Now().Add(20*time.Millisecond))
+		}
+		answer := dispatcher.Serve(t.Context(), newRequest(gatherRoute(2, 0.5)))
+		qt.Assert(t, answer.Failure == nil, qt.IsTrue, qt.Commentf("%v", answer.Failure))
+		qt.Assert(t, answer.Missing, qt.Equals, 0)
+	})
+}
