--- a/allowance/hosts.go
+++ b/allowance/hosts.go
@@ -63,6 +63,9 @@
 	// they no longer do ("sure"); it may be nil.
 	Changed func(state string, listAge time.Duration)
 
+	// updating is held during an update, so that updates don't overtake each other.
+	updating sync.Mutex
+
 	mu sync.Mutex
 	// latest is the latest list as it was passed to Update.
 	latest []shard.Host
@@ -72,8 +75,7 @@
 	lists []domainList
 	// fingerprint identifies the latest of lists.
 	fingerprint string
-	// since is when this host last lost track of earlier lists.
-	since  time.Time
+	// unsure is set while this host's grants depend on votes.
 	unsure bool
 
 	// voting is closed when the vote in progress ends, nil when there is none.
@@ -115,6 +117,8 @@
 
 // Update replaces the list of hosts.
 func (hosts *Hosts) Update(list []shard.Host) {
+	hosts.updating.Lock()
+	defer hosts.updating.Unlock()
 	if !hosts.setLatest(list) {
 		return
 	}
@@ -166,15 +170,15 @@
 	return true
 }
 
-// forget removes lists that are too old or too many. The caller holds the lock.
+// forget removes lists that are too old or too many. A host that keeps a limit by all
+// lists that are left counts as its keeper since the first of them, which is no earlier
+// than it became that. The caller holds the lock.
 func (hosts *Hosts) forget(now time.Time) {
 	for len(hosts.lists) > 1 && now.Sub(hosts.lists[1].from) > memory {
 		hosts.lists = hosts.lists[1:]
 	}
 	if len(hosts.lists) > maxLists {
 		hosts.lists = hosts.lists[1:]
-		// The next bucket must not begin before an earlier one that is forgotten.
-		hosts.since = now
 	}
 }
 
@@ -206,11 +210,7 @@
 	if first == len(hosts.lists) {
 		return time.Time{}, false
 	}
-	from := hosts.lists[first].from
-	if from.Before(hosts.since) {
-		from = hosts.since
-	}
-	begin := from.Add(takeoverTime)
+	begin := hosts.lists[first].from.Add(takeoverTime)
 	if released, ok := hosts.releasedAt(first, limit); ok && released.Before(begin) {
 		begin = released
 	}
