suspect: ask without a change of state

Suspected reported a replica that became suspected, and forgot the report once it was no longer, so that whoever asked changed what was logged and when. Each change that can make a replica suspected now reports it: a late reply, a merged streak; a timely reply and an expired streak end the report. OnSuspected is called as often, and no longer depends on who asks.

--- a/suspect/suspect.go
+++ b/suspect/suspect.go
@@ -74,6 +74,7 @@
 	tracker.mu.Lock()
 	defer tracker.mu.Unlock()
 	tracker.streak(name).lastTimely = tracker.Now()
+	delete(tracker.reported, name)
 }
 
 // RecordLate records a request that failed, was answered late, or has been
@@ -101,7 +102,8 @@
 	return streak.active(now) && streak.lastLate.Sub(streak.firstLate) >= minStreak
 }
 
-// Suspected reports whether requests should avoid a replica or host.
+// Suspected reports whether requests should avoid a replica or host. It changes no
+// state.
 func (tracker *Tracker) Suspected(name string) bool {
 	tracker.mu.Lock()
 	defer tracker.mu.Unlock()
@@ -109,9 +111,7 @@
 	if streak == nil {
 		return false
 	}
-	now := tracker.Now()
-	tracker.report(name, streak, now)
-	return streak.suspected(now)
+	return streak.suspected(tracker.Now())
 }
 
 // report calls OnSuspected once for each time that a name becomes suspected.
@@ -163,6 +163,8 @@
 	for _, received := range streaks {
 		local := tracker.streak(received.Name)
 		tracker.late[received.Name] = local
+		// A streak that has expired may be followed by another one.
+		tracker.report(received.Name, local, now)
 		local.merge(streak{lastTimely: timeOfAge(now, received.TimelyMillis), firstLate: timeOfAge(now, received.FirstMillis), lastLate: timeOfAge(now, received.LastMillis)})
 		tracker.report(received.Name, local, now)
 	}
--- a/suspect/suspect_test.go
+++ b/suspect/suspect_test.go
@@ -143,3 +143,29 @@
 	tracker.RecordLate("r")
 	qt.Assert(t, names(tracker), qt.DeepEquals, []string{"r"})
 }
+
+// Asking whether a replica is suspected changes nothing: OnSuspected is called as often
+// with as without it, also for a streak that follows an expired or an ended one.
+func TestSuspectedChangesNothing(t *testing.T) {
+	for _, asks := range []bool{false, true} {
+		tracker, clock := newTracker()
+		calls := 0
+		tracker.OnSuspected = func(string, time.Duration) { calls++ }
+		streak := []message.Streak{{Name: "r", FirstMillis: 500, LastMillis: 0, TimelyMillis: -1}}
+		for step := range 3 {
+			tracker.Merge(streak)
+			if asks {
+				qt.Assert(t, tracker.Suspected("r"), qt.IsTrue)
+			}
+			clock.advance(100)
+			if step == 0 {
+				tracker.RecordTimely("r")
+			}
+			clock.advance(3000)
+			if asks {
+				qt.Assert(t, tracker.Suspected("r"), qt.IsFalse)
+			}
+		}
+		qt.Assert(t, calls, qt.Equals, 3)
+	}
+}
