--- a/rank/throttle.go
+++ b/rank/throttle.go
@@ -107,19 +107,42 @@
 	throttle.mu.Lock()
 	defer throttle.mu.Unlock()
 	counts := throttle.counts(rank)
+	refusalProbability = throttle.refusalProbability(counts, rank, workspace)
+	if throttle.Random() < refusalProbability {
+		counts.refused++
+		return false, refusalProbability
+	}
+	return true, refusalProbability
+}
+
+// RefusalProbability returns the probability with which Admit would refuse a request
+// now. It changes no state.
+func (throttle *Throttle) RefusalProbability(rank int, workspace string) float64 {
+	copied := &Throttle{Now: throttle.Now, ranks: make(map[int]*rankCounts)}
+	throttle.mu.Lock()
+	for other, counts := range throttle.ranks {
+		copiedCounts := *counts
+		if other == rank {
+			copiedCounts.sent = counts.sent.Clone()
+		}
+		copied.ranks[other] = &copiedCounts
+	}
+	throttle.mu.Unlock()
+	return copied.refusalProbability(copied.counts(rank), rank, workspace)
+}
+
+// refusalProbability counts a request that arrives and returns the probability with
+// which it is refused. The caller holds the lock.
+func (throttle *Throttle) refusalProbability(counts *rankCounts, rank int, workspace string) float64 {
 	counts.usedAt = counts.updatedAt
 	accepted := counts.inTime * throttleFactor * throttle.urgentFactor(rank)
 	total := counts.completed + counts.refused
-	refusalProbability = max(0, (total-accepted-alwaysAdmitted)/(total+1))
+	refusalProbability := max(0, (total-accepted-alwaysAdmitted)/(total+1))
 	if workspace != "" {
 		counts.sent.Add(workspace, counts.updatedAt)
 		refusalProbability = 1 - counts.sent.Admitted(workspace, 1-refusalProbability, leastServed)
 	}
-	if throttle.Random() < refusalProbability {
-		counts.refused++
-		return false, refusalProbability
-	}
-	return true, refusalProbability
+	return refusalProbability
 }
 
 // urgentFactor returns the factor by which late requests of more urgent ranks
--- a/rank/throttle_test.go
+++ b/rank/throttle_test.go
@@ -214,3 +214,28 @@
 	}
 	qt.Assert(t, throttle.Ranks() < 400, qt.IsTrue, qt.Commentf("%d ranks", throttle.Ranks()))
 }
+
+// RefusalProbability is that of the next request, and asking for it changes nothing.
+func TestRefusalProbability(t *testing.T) {
+	throttle, now := newThrottle()
+	for step := range 400 {
+		*now = now.Add(10 * time.Millisecond)
+		number := step % 3
+		workspace := []string{"", "small", "large", "large"}[step%4]
+		if step%40 == 0 {
+			workspace = "new"
+		}
+		var expected float64
+		for range 5 {
+			expected = throttle.RefusalProbability(number, workspace)
+		}
+		admitted, probability := throttle.Admit(number, workspace)
+		qt.Assert(t, probability, qt.Equals, expected)
+		if admitted {
+			throttle.RecordResult(number, step%5 == 0)
+		}
+	}
+	ranks := throttle.Ranks()
+	throttle.RefusalProbability(77, "other")
+	qt.Assert(t, throttle.Ranks(), qt.Equals, ranks)
+}
--- a/reach/reach.go
+++ b/reach/reach.go
@@ -101,13 +101,24 @@
 	monitor.mu.Lock()
 	defer monitor.mu.Unlock()
 	now := monitor.Now()
-	if !monitor.isolated || now.Sub(monitor.lastTrial) < trialInterval {
+	if !monitor.trialDue(now) {
 		return false
 	}
 	monitor.lastTrial = now
 	return true
 }
 
+// TrialDue reports whether TakeTrial would return true. It changes no state.
+func (monitor *Monitor) TrialDue() bool {
+	monitor.mu.Lock()
+	defer monitor.mu.Unlock()
+	return monitor.trialDue(monitor.Now())
+}
+
+func (monitor *Monitor) trialDue(now time.Time) bool {
+	return monitor.isolated && now.Sub(monitor.lastTrial) >= trialInterval
+}
+
 // needsProbe reports whether the host may be or is isolated.
 func (monitor *Monitor) needsProbe() bool {
 	monitor.mu.Lock()
--- a/roster/excluded.go
+++ b/roster/excluded.go
@@ -1,6 +1,62 @@
 package roster
 
-import "time"
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// Exclusion is why a listed replica accepts no requests, empty if it accepts them.
+type Exclusion string
+
+// Reasons for which a listed replica accepts no requests.
+const (
+	Leaving     Exclusion = "leaving"
+	SaidLeaving Exclusion = "said that it leaves"
+	Evacuated   Exclusion = "evacuated"
+	Misplaced   Exclusion = "misplaced"
+)
+
+// Listed is a listed replica, and why it accepts no requests.
+type Listed struct {
+	Replica
+	Excluded Exclusion
+}
+
+// Listed returns all listed replicas of services, by service. It changes no state.
+func (roster *Roster) Listed(services []string) map[string][]Listed {
+	byService := make(map[string][]Listed, len(services))
+	for _, service := range services {
+		byService[service] = nil
+	}
+	roster.mu.Lock()
+	defer roster.mu.Unlock()
+	for id, replica := range roster.replicas {
+		if list, wanted := byService[replica.Service]; wanted {
+			byService[replica.Service] = append(list, Listed{Replica: replica, Excluded: roster.exclusion(id, replica)})
+		}
+	}
+	for _, list := range byService {
+		slices.SortFunc(list, func(a, b Listed) int { return cmp.Compare(a.ID, b.ID) })
+	}
+	return byService
+}
+
+// exclusion returns why a replica accepts no requests.
+func (roster *Roster) exclusion(id string, replica Replica) Exclusion {
+	_, misplaced := roster.misplacedAt[id]
+	switch {
+	case replica.Leaving:
+		return Leaving
+	case misplaced:
+		return Misplaced
+	case roster.evacuated[replica.FailureDomain]:
+		return Evacuated
+	case roster.saidLeaving(replica):
+		return SaidLeaving
+	}
+	return ""
+}
 
 // leavingReply is the incarnation of a replica that said in a reply that it leaves.
 type leavingReply struct {
--- a/roster/excluded_test.go
+++ b/roster/excluded_test.go
@@ -80,3 +80,27 @@
 	replicas.Update([]roster.Replica{entry(6, 2, "ready")})
 	qt.Assert(t, replicas.Accepts("desk", "a"), qt.IsFalse)
 }
+
+// Listed holds each listed replica, with the reason for which it is not available.
+func TestListedTellsWhy(t *testing.T) {
+	replicas, clock := newRoster()
+	replicas.Update([]roster.Replica{{ID: "a", Service: "desk"}, {ID: "b", Service: "desk", Leaving: true}, {ID: "c", Service: "desk"}, {ID: "d", Service: "desk"}, {ID: "e", Service: "desk", FailureDomain: "x"}, {ID: "f", Service: "other"}})
+	replicas.ReportLeaving(roster.Replica{ID: "c", Service: "desk"})
+	replicas.ReportMisplaced("d")
+	replicas.SetEvacuated("x", true)
+	reasons := func() map[string]roster.Exclusion {
+		reasons := make(map[string]roster.Exclusion)
+		for _, listed := range replicas.Listed([]string{"desk", "none"})["desk"] {
+			reasons[listed.ID] = listed.Excluded
+		}
+		return reasons
+	}
+	qt.Assert(t, reasons(), qt.DeepEquals, map[string]roster.Exclusion{"a": "", "b": roster.Leaving, "c": roster.SaidLeaving, "d": roster.Misplaced, "e": roster.Evacuated})
+	qt.Assert(t, ids(replicas.Available("desk")), qt.DeepEquals, []string{"a"})
+	clock.now = clock.now.Add(6 * time.Second)
+	// What is published lasts until the list is read again.
+	qt.Assert(t, reasons()["d"], qt.Equals, roster.Misplaced)
+	replicas.Confirm()
+	qt.Assert(t, reasons()["d"], qt.Equals, roster.Exclusion(""))
+	qt.Assert(t, ids(replicas.Available("desk")), qt.DeepEquals, []string{"a", "d"})
+}
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -230,7 +230,7 @@
 		byService[service], block = block[:0:count], block[count:]
 	}
 	for id, replica := range roster.replicas {
-		if _, misplaced := roster.misplacedAt[id]; !replica.Leaving && !misplaced && !roster.evacuated[replica.FailureDomain] && !roster.saidLeaving(replica) {
+		if roster.exclusion(id, replica) == "" {
 			byService[replica.Service] = append(byService[replica.Service], replica)
 		}
 	}
--- a/share/counts.go
+++ b/share/counts.go
@@ -3,6 +3,7 @@
 package share
 
 import (
+	"maps"
 	"math"
 	"slices"
 	"time"
@@ -60,6 +61,13 @@
 	counts.stale++
 }
 
+// Clone returns a copy that shares nothing with counts.
+func (counts *Counts) Clone() Counts {
+	copied := *counts
+	copied.entries, copied.sorted, copied.sums = maps.Clone(counts.entries), slices.Clone(counts.sorted), slices.Clone(counts.sums)
+	return copied
+}
+
 // sweep removes the workspaces that are gone, and restarts the units so that they stay
 // small.
 func (counts *Counts) sweep(now time.Time) {
