--- a/allowance/tokens.go
+++ b/allowance/tokens.go
@@ -183,6 +183,11 @@
 // account's lock.
 func (tokens *Tokens) prepare(account *account, limit Limit) {
 	account.recordDemand(tokens.Now())
+	tokens.apply(account, limit)
+}
+
+// apply applies the limit as it is now. The caller holds the account's lock.
+func (tokens *Tokens) apply(account *account, limit Limit) {
 	if account.limit == limit {
 		return
 	}
@@ -234,13 +239,37 @@
 		}
 		return Ticket{Decision: Allowed, expires: expires}, true
 	}
-	if now.Before(account.refusedUntil) && account.asking == nil {
+	if decision, decided := account.judge(now); decided {
 		account.line++
-		return Ticket{Decision: account.reason, RetryAfter: tokens.retryAfter(account, now)}, true
+		return Ticket{Decision: decision, RetryAfter: tokens.retryAfter(account, now)}, true
 	}
 	return Ticket{}, false
 }
 
+// judge returns the decision on a request, and whether this host can take it without
+// asking. The caller holds the account's lock.
+func (account *account) judge(now time.Time) (decision Decision, decided bool) {
+	switch {
+	case account.valid(now) > 0:
+		return Allowed, true
+	case now.Before(account.refusedUntil) && account.asking == nil:
+		return account.reason, true
+	}
+	return Unknown, false
+}
+
+// valid returns the number of tokens that are not void. The caller holds the account's
+// lock.
+func (account *account) valid(now time.Time) int {
+	count := 0
+	for _, lot := range account.lots {
+		if now.Before(lot.expires) {
+			count += lot.count
+		}
+	}
+	return count
+}
+
 // await waits until a request can be decided on. The caller holds the account's lock,
 // which is released while waiting.
 func (tokens *Tokens) await(ctx context.Context, account *account) Ticket {
