peer: preview the bundles of a request

Plan and Preview share the planning and differ in how a peer is picked: Pick counts the bundle at the peer, a preview of the picker does not.

--- a/peer/peer_test.go
+++ b/peer/peer_test.go
@@ -383,3 +383,48 @@
 	qt.Assert(t, verdict.FailureOf(err).Verdict, qt.Equals, verdict.NotRun)
 	qt.Assert(t, unconnectedWire.Ended(to), qt.IsTrue)
 }
+
+// A preview has the bundles that the plan then has, each for the same peer, and counts
+// nothing at the peers.
+func TestPreviewIsThePlan(t *testing.T) {
+	for _, test := range []struct {
+		name   string
+		cores  float64
+		shards int
+		want   int
+	}{{"larger hosts gather", 0.2, 90, 2}, {"equal hosts share", 0, 90, 3}, {"this host gathers", 0, 3, 0}} {
+		t.Run(test.name, func(t *testing.T) {
+			hosts := peers(4)
+			for i := range hosts {
+				if hosts[i].Cores = test.cores; i%4 >= 2 {
+					hosts[i].Cores *= 4
+				}
+			}
+			delegator := newDelegator(hosts)
+			delegator.Cores = test.cores
+			// Every shard has a replica here, so that no domain is drawn.
+			delegator.Replicas = func(service string) []roster.Replica {
+				return []roster.Replica{{ID: service, Service: service, FailureDomain: "d0"}}
+			}
+			delegator.Picker.Random = func(int) int { return 0 }
+			delegator.Picker.Distance = func(string) time.Duration { return 0 }
+			var names []string
+			for _, host := range hosts {
+				names = append(names, host.Name)
+			}
+			now := time.Now()
+			delegator.Picker.Now = func() time.Time { return now }
+			request := &dispatch.Request{Route: &route.Route{Shards: shards(test.shards), LatencyTarget: 80 * time.Millisecond}}
+			before := delegator.Picker.Explain(names)
+			previewed := delegator.Preview(request, nil)
+			qt.Assert(t, delegator.Preview(request, nil), qt.DeepEquals, previewed)
+			qt.Assert(t, delegator.Picker.Explain(names), qt.DeepEquals, before)
+			qt.Assert(t, delegator.Plan(request, nil), qt.DeepEquals, previewed)
+			distinct := make(map[string]bool)
+			for _, bundle := range previewed {
+				distinct[bundle.Peer] = true
+			}
+			qt.Assert(t, distinct, qt.HasLen, test.want)
+		})
+	}
+}
--- a/peer/plan.go
+++ b/peer/plan.go
@@ -33,6 +33,13 @@
 	minGathererShards = 30
 )
 
+// planner plans the bundles of one request.
+type planner struct {
+	*Delegator
+	// pick chooses one of several peers by their names.
+	pick func(names []string) int
+}
+
 // Plan returns the bundles that peers are to gather. Each remote shard, which
 // has no replica in this host's failure domain, goes to a domain that has one;
 // a greedy choice keeps the number of domains small. Local shards are bundled
@@ -40,31 +47,42 @@
 // times its processor time if there are any, or else those that exceed its part. Peers
 // and replicas of failure domains that are not allowed get none; a nil function allows
 // all.
+//
+// The picker counts each bundle as outstanding at its peer.
 func (delegator *Delegator) Plan(request *dispatch.Request, allows func(domain string) bool) []dispatch.Bundle {
+	return planner{Delegator: delegator, pick: delegator.Picker.Pick}.plan(request, allows)
+}
+
+// Preview returns the bundles that Plan would return now. It changes no state.
+func (delegator *Delegator) Preview(request *dispatch.Request, allows func(domain string) bool) []dispatch.Bundle {
+	return planner{Delegator: delegator, pick: delegator.Picker.Preview().Pick}.plan(request, allows)
+}
+
+func (planner planner) plan(request *dispatch.Request, allows func(domain string) bool) []dispatch.Bundle {
 	if allows == nil {
 		allows = func(string) bool { return true }
 	}
 	shards, target := request.Route.Shards, request.Route.LatencyTarget
-	peers := delegator.availablePeers(allows)
+	peers := planner.availablePeers(allows)
 	var gatherers []shard.Host
-	if len(shards) > max(maxShardsPerHost, shardCapacity(delegator.Cores, target)) {
-		gatherers = largerHosts(peers[delegator.Domain], delegator.Cores)
+	if len(shards) > max(maxShardsPerHost, shardCapacity(planner.Cores, target)) {
+		gatherers = largerHosts(peers[planner.Domain], planner.Cores)
 	}
-	remote := delegator.remoteShards(shards, len(gatherers) > 0, allows)
+	remote := planner.remoteShards(shards, len(gatherers) > 0, allows)
 	if len(remote) < minRemoteShards && len(shards) <= maxShardsPerHost {
 		return nil
 	}
 	local := slices.DeleteFunc(slices.Clone(shards), func(shard string) bool { return remote[shard] != nil })
 	var bundles []dispatch.Bundle
 	if len(gatherers) > 0 {
-		bundles = delegator.spread(local, gatherers)
+		bundles = planner.spread(local, gatherers)
 	} else {
-		bundles = delegator.splitLocal(local, peers[delegator.Domain], target)
+		bundles = planner.splitLocal(local, peers[planner.Domain], target)
 	}
 	for i := range bundles {
-		bundles[i].Domain = delegator.Domain
+		bundles[i].Domain = planner.Domain
 	}
-	delete(peers, delegator.Domain)
+	delete(peers, planner.Domain)
 	for len(peers) > 0 {
 		domain, covered := bestDomain(remote, peers)
 		if len(covered) < minRemoteShards {
@@ -73,7 +91,7 @@
 		for _, shard := range covered {
 			delete(remote, shard)
 		}
-		bundles = append(bundles, delegator.remoteBundles(covered, domain, peers[domain])...)
+		bundles = append(bundles, planner.remoteBundles(covered, domain, peers[domain])...)
 		delete(peers, domain)
 	}
 	return bundles
@@ -107,10 +125,10 @@
 // splitLocal returns bundles for peers of this host's failure domain with the
 // local shards that exceed this host's part. A host that gathers for smaller ones
 // takes a larger part, and gives the rest to others that do.
-func (delegator *Delegator) splitLocal(local []string, peers []shard.Host, target time.Duration) []dispatch.Bundle {
+func (planner planner) splitLocal(local []string, peers []shard.Host, target time.Duration) []dispatch.Bundle {
 	limit := maxShardsPerHost
-	if smallest := smallestCores(peers); smallest > 0 && delegator.Cores >= gathererFactor*smallest {
-		limit = max(limit, shardCapacity(delegator.Cores, target))
+	if smallest := smallestCores(peers); smallest > 0 && planner.Cores >= gathererFactor*smallest {
+		limit = max(limit, shardCapacity(planner.Cores, target))
 		if gatherers := largerHosts(peers, smallest); len(gatherers) > 0 {
 			peers = gatherers
 		}
@@ -122,20 +140,20 @@
 	size := (len(local) + groups - 1) / groups
 	var bundles []dispatch.Bundle
 	for group := range slices.Chunk(local[size:], size) {
-		bundles = append(bundles, delegator.newBundle(peers, group))
+		bundles = append(bundles, planner.newBundle(peers, group))
 	}
 	return bundles
 }
 
 // remoteBundles returns bundles of remote shards for the peers of a failure domain,
 // its larger hosts if it has any.
-func (delegator *Delegator) remoteBundles(shards []string, domain string, peers []shard.Host) []dispatch.Bundle {
+func (planner planner) remoteBundles(shards []string, domain string, peers []shard.Host) []dispatch.Bundle {
 	var bundles []dispatch.Bundle
 	if gatherers := largerHosts(peers, smallestCores(peers)); len(gatherers) > 0 {
-		bundles = delegator.spread(shards, gatherers)
+		bundles = planner.spread(shards, gatherers)
 	} else {
 		for group := range slices.Chunk(shards, maxShardsPerHost) {
-			bundles = append(bundles, delegator.newBundle(peers, group))
+			bundles = append(bundles, planner.newBundle(peers, group))
 		}
 	}
 	for i := range bundles {
@@ -146,7 +164,7 @@
 
 // spread returns bundles of about equal size, each for another peer, and no more than
 // minGathererShards call for.
-func (delegator *Delegator) spread(shards []string, peers []shard.Host) []dispatch.Bundle {
+func (planner planner) spread(shards []string, peers []shard.Host) []dispatch.Bundle {
 	if len(shards) == 0 {
 		return nil
 	}
@@ -154,21 +172,20 @@
 	groups := min((len(shards)+minGathererShards-1)/minGathererShards, len(peers))
 	var bundles []dispatch.Bundle
 	for group := range slices.Chunk(shards, (len(shards)+groups-1)/groups) {
-		bundle := delegator.newBundle(peers, group)
+		bundle := planner.newBundle(peers, group)
 		bundles = append(bundles, bundle)
 		peers = slices.DeleteFunc(peers, func(peer shard.Host) bool { return peer.Name == bundle.Peer })
 	}
 	return bundles
 }
 
-// newBundle assigns shards to one of several peers. The picker counts the
-// bundle as outstanding at that peer.
-func (delegator *Delegator) newBundle(peers []shard.Host, shards []string) dispatch.Bundle {
+// newBundle assigns shards to one of several peers.
+func (planner planner) newBundle(peers []shard.Host, shards []string) dispatch.Bundle {
 	names := make([]string, len(peers))
 	for i, peer := range peers {
 		names[i] = peer.Name
 	}
-	return dispatch.Bundle{Peer: names[delegator.Picker.Pick(names)], Shards: shards}
+	return dispatch.Bundle{Peer: names[planner.pick(names)], Shards: shards}
 }
 
 // remoteShards returns the shards without a replica in this host's failure
