dispatch: explain where a request would go

Explain uses the run of a request up to its first attempts: the checks of refuseUnlessServable, which are split from their logging, the throttle, the plan of bundles, the candidates and the picker's choice. It sends, logs and counts nothing; parts and replicas are bounded.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -173,6 +173,12 @@
 	// shards are requested directly from their replicas. Only the peers and replicas
 	// of allowed failure domains may get the request. It may be nil.
 	Plan func(request *Request, allows func(domain string) bool) []Bundle
+	// Preview returns what Plan would return now, without a change of state; nil if Plan
+	// is.
+	Preview func(request *Request, allows func(domain string) bool) []Bundle
+	// Listed returns all listed replicas of services, also those that accept no
+	// requests. It may be nil unless Explain is called.
+	Listed func(services []string) map[string][]roster.Listed
 	// Delegate requests a bundle from a peer. It calls report with each reply
 	// before the last one, and returns the last. It always returns, at the latest
 	// shortly after ctx has ended. The cause of ctx is ErrSilent when the peer is
@@ -271,7 +277,7 @@
 
 // isolated reports whether this host can't answer a gathered request because no
 // other failure domain can be reached and too few of the shards have a replica
-// in this host's failure domain. From time to time it lets a request try.
+// in this host's failure domain.
 func (run *run) isolated() bool {
 	dispatcher, route := run.dispatcher, run.request.Route
 	if dispatcher.Reach == nil || !route.Gathers() || !dispatcher.Reach.Isolated() {
@@ -285,7 +291,7 @@
 			localShards++
 		}
 	}
-	return localShards < route.MinShards() && !dispatcher.Reach.TakeTrial()
+	return localShards < route.MinShards()
 }
 
 // servable reports whether enough parts of a request have a replica that accepts it.
--- a/dispatch/result.go
+++ b/dispatch/result.go
@@ -7,6 +7,7 @@
 	"fescuehall/answer"
 	"fescuehall/logbook"
 	"fescuehall/metric"
+	"fescuehall/reach"
 	"fescuehall/verdict"
 )
 
@@ -31,26 +32,44 @@
 // refuse answers a request that the throttle did not admit.
 func (run *run) refuse(refusalProbability float64) *Answer {
 	run.cancel()
-	answer := &Answer{Failure: verdict.New(verdict.NotRun, verdict.Overload, "too few requests are answered in time"), RetryAfter: overloadRetryAfter}
 	run.observe("refused", time.Now())
 	fields := run.fields()
 	fields["chance"] = refusalProbability
 	run.dispatcher.Event("refused", fields)
-	return answer
+	return overloadAnswer()
+}
+
+func overloadAnswer() *Answer {
+	return &Answer{Failure: verdict.New(verdict.NotRun, verdict.Overload, "too few requests are answered in time"), RetryAfter: overloadRetryAfter}
 }
 
 // refuseUnlessServable answers a request that this host is known to be unable to
 // serve. It returns nil for any other.
 func (run *run) refuseUnlessServable() *Answer {
+	event, answer := run.refusal((*reach.Monitor).TakeTrial)
+	if answer == nil {
+		return nil
+	}
+	run.cancel()
+	run.observe(event, time.Now())
+	run.dispatcher.Event(event, run.fields())
+	return answer
+}
+
+// refusal returns the answer to a request that this host is known to be unable to
+// serve, and the name of that event; nil for any other. It changes no state, unless
+// isTrial does, which tells whether an isolated host is to send a request to other
+// failure domains all the same.
+func (run *run) refusal(isTrial func(*reach.Monitor) bool) (event string, answer *Answer) {
 	switch {
 	case !run.dispatcher.Stop.Admits(0):
-		return run.refuseStopping()
-	case run.isolated():
-		return run.refuseIsolated()
+		return "stopping", &Answer{Failure: verdict.New(verdict.NotRun, verdict.Stopping, "this host stops"), RetryAfter: run.stoppingRetryAfter()}
+	case run.isolated() && !isTrial(run.dispatcher.Reach):
+		return "cut off", &Answer{Failure: verdict.New(verdict.NotRun, verdict.Unreachable, "no other failure domain can be reached"), RetryAfter: isolatedRetryAfter}
 	case !run.servable():
-		return run.refuseUnservable()
+		return "unservable", &Answer{Failure: verdict.New(verdict.NotRun, verdict.NoReplica, "too few shards have a replica that accepts requests"), RetryAfter: unservableRetryAfter}
 	}
-	return nil
+	return "", nil
 }
 
 // isolatedRetryAfter is the delay after which the caller may retry a request
@@ -58,37 +77,11 @@
 // switch to other hosts.
 const isolatedRetryAfter = time.Second
 
-// refuseIsolated answers a request that this host can't serve while it is
-// isolated from the other failure domains.
-func (run *run) refuseIsolated() *Answer {
-	run.cancel()
-	run.observe("cut off", time.Now())
-	run.dispatcher.Event("cut off", run.fields())
-	return &Answer{Failure: verdict.New(verdict.NotRun, verdict.Unreachable, "no other failure domain can be reached"), RetryAfter: isolatedRetryAfter}
-}
-
 // unservableRetryAfter is the delay after which the caller may retry a request
 // whose shards have too few replicas: the time in which the list of replicas is
 // read again.
 const unservableRetryAfter = 800 * time.Millisecond
 
-// refuseUnservable answers a request that can't be served because too few of its
-// shards have a replica that accepts requests.
-func (run *run) refuseUnservable() *Answer {
-	run.cancel()
-	run.observe("unservable", time.Now())
-	run.dispatcher.Event("unservable", run.fields())
-	return &Answer{Failure: verdict.New(verdict.NotRun, verdict.NoReplica, "too few shards have a replica that accepts requests"), RetryAfter: unservableRetryAfter}
-}
-
-// refuseStopping answers a request that this host can't serve before it stops.
-func (run *run) refuseStopping() *Answer {
-	run.cancel()
-	run.observe("stopping", time.Now())
-	run.dispatcher.Event("stopping", run.fields())
-	return &Answer{Failure: verdict.New(verdict.NotRun, verdict.Stopping, "this host stops"), RetryAfter: run.stoppingRetryAfter()}
-}
-
 // stoppingRetryAfter returns the delay after which the caller of a request that this
 // host refuses to stop may send it to another host. A stop refuses many requests at
 // once: the urgent ones return first, and those of a rank not all at the same time.
