--- a/suspect/suspect.go
+++ b/suspect/suspect.go
@@ -74,7 +74,6 @@
 	tracker.mu.Lock()
 	defer tracker.mu.Unlock()
 	tracker.streak(name).lastTimely = tracker.Now()
-	delete(tracker.reported, name)
 }
 
 // RecordLate records a request that failed, was answered late, or has been
