--- a/suspect/suspect.go
+++ b/suspect/suspect.go
@@ -102,7 +102,8 @@
 	return streak.active(now) && streak.lastLate.Sub(streak.firstLate) >= minStreak
 }
 
-// Suspected reports whether requests should avoid a replica or host.
+// Suspected reports whether requests should avoid a replica or host. It changes no
+// state.
 func (tracker *Tracker) Suspected(name string) bool {
 	tracker.mu.Lock()
 	defer tracker.mu.Unlock()
@@ -110,9 +111,7 @@
 	if streak == nil {
 		return false
 	}
-	now := tracker.Now()
-	tracker.report(name, streak, now)
-	return streak.suspected(now)
+	return streak.suspected(tracker.Now())
 }
 
 // report calls OnSuspected once for each time that a name becomes suspected.
@@ -165,6 +164,8 @@
 	for _, received := range streaks {
 		local := tracker.streak(received.Name)
 		tracker.late[received.Name] = local
+		// A streak that has expired may be followed by another one.
+		tracker.report(received.Name, local, now)
 		local.merge(streak{lastTimely: timeOfAge(now, received.TimelyMillis), firstLate: timeOfAge(now, received.FirstMillis), lastLate: timeOfAge(now, received.LastMillis)})
 	}
 }
