suspect: log suspicions on the hosts that send to the replica

Change: it is logged when it begins, by hosts that have had a reply of the replica themselves. The tests check both: no call on a host that has sent it nothing, calls as before on others, none for asking.

--- a/suspect/suspect.go
+++ b/suspect/suspect.go
@@ -34,6 +34,8 @@
 	lastTimely time.Time
 	firstLate  time.Time
 	lastLate   time.Time
+	// observed is set once this host itself has recorded a reply.
+	observed bool
 }
 
 // Tracker tracks the streaks of late replies of replicas and hosts. Set the
@@ -42,8 +44,7 @@
 	// Now is the clock. Only differences are used.
 	Now func() time.Time
 	// OnSuspected, if not nil, is called with the duration of the streak when a replica
-	// or host is found to be suspected: by an own request, or by the first choice that
-	// another host's report affects.
+	// or host becomes suspected to which this host has sent requests itself.
 	OnSuspected func(name string, late time.Duration)
 
 	mu      sync.Mutex
@@ -74,7 +75,8 @@
 func (tracker *Tracker) RecordTimely(name string) {
 	tracker.mu.Lock()
 	defer tracker.mu.Unlock()
-	tracker.streak(name).lastTimely = tracker.Now()
+	streak := tracker.streak(name)
+	streak.lastTimely, streak.observed = tracker.Now(), true
 }
 
 // RecordLate records a request that failed, was answered late, or has been
@@ -83,6 +85,7 @@
 	tracker.mu.Lock()
 	defer tracker.mu.Unlock()
 	streak := tracker.streak(name)
+	streak.observed = true
 	now := tracker.Now()
 	if !streak.active(now) {
 		streak.firstLate = now
@@ -125,7 +128,8 @@
 		return
 	}
 	tracker.reported[name] = true
-	if tracker.OnSuspected != nil {
+	// Most hosts of a large fleet never choose among most of the replicas.
+	if tracker.OnSuspected != nil && streak.observed {
 		tracker.OnSuspected(name, streak.lastLate.Sub(streak.firstLate))
 	}
 }
@@ -155,8 +159,7 @@
 	return slices.Clone(streaks[:min(len(streaks), maxStreaks)])
 }
 
-// Merge merges the streaks received from another host. It is idempotent. It reports no
-// suspicion, since most hosts of a large fleet never choose among those replicas.
+// Merge merges the streaks received from another host. It is idempotent.
 func (tracker *Tracker) Merge(streaks []message.Streak) {
 	tracker.mu.Lock()
 	defer tracker.mu.Unlock()
@@ -167,6 +170,7 @@
 		// A streak that has expired may be followed by another one.
 		tracker.report(received.Name, local, now)
 		local.merge(streak{lastTimely: timeOfAge(now, received.TimelyMillis), firstLate: timeOfAge(now, received.FirstMillis), lastLate: timeOfAge(now, received.LastMillis)})
+		tracker.report(received.Name, local, now)
 	}
 }
 
--- a/suspect/suspect_test.go
+++ b/suspect/suspect_test.go
@@ -93,8 +93,8 @@
 	qt.Assert(t, first.Suspected("r") || second.Suspected("r"), qt.IsFalse)
 }
 
-// OnSuspected is called once when an own request shows that a replica is suspected, or
-// when the first choice is affected by streaks received from another host.
+// OnSuspected is called once when a replica becomes suspected, also through streaks
+// received from another host, if this host has sent requests to it.
 func TestOnSuspected(t *testing.T) {
 	tracker, clock := newTracker()
 	calls := 0
@@ -103,10 +103,15 @@
 		tracker.RecordLate("r")
 		clock.advance(200)
 	}
-	tracker.Merge([]message.Streak{{Name: "s", FirstMillis: 900, LastMillis: 100, TimelyMillis: -1}})
+	streaks := []message.Streak{{Name: "s", FirstMillis: 900, LastMillis: 100, TimelyMillis: -1}}
+	tracker.Merge(streaks)
+	qt.Assert(t, tracker.Suspected("s"), qt.IsTrue)
 	qt.Assert(t, calls, qt.Equals, 1)
+	tracker.RecordTimely("s")
+	clock.advance(1000)
+	tracker.RecordLate("r")
 	for range 2 {
-		qt.Assert(t, tracker.Suspected("s"), qt.IsTrue)
+		tracker.Merge(streaks)
 		qt.Assert(t, calls, qt.Equals, 2)
 	}
 	tracker.RecordTimely("r")
@@ -156,6 +161,8 @@
 		calls := 0
 		tracker.OnSuspected = func(string, time.Duration) { calls++ }
 		streak := []message.Streak{{Name: "r", FirstMillis: 500, LastMillis: 0, TimelyMillis: -1}}
+		tracker.RecordTimely("r")
+		clock.advance(1000)
 		for step := range 3 {
 			tracker.Merge(streak)
 			if asks {
