--- a/dispatch/attempt.go
+++ b/dispatch/attempt.go
@@ -324,8 +324,13 @@
 		if part.mayHaveRun >= run.request.Route.MaxAttempts || len(run.candidates(part)) == 0 {
 			continue
 		}
-		if run.takeExtra(part.service) == "" && run.startAttempt(index, true) {
-			run.hedges++
+		if run.takeExtra(part.service) != "" {
+			continue
+		}
+		if !run.startAttempt(index, true) {
+			run.dispatcher.budget(part.service).Refund()
+			continue
 		}
+		run.hedges++
 	}
 }
--- a/replica/picker.go
+++ b/replica/picker.go
@@ -1,6 +1,5 @@
 // Package replica selects a replica of a shard by what this host knows of each
-// one: what it has measured, what replicas report with replies, and what other
-// hosts of its failure domain have measured.
+// one: what it has measured, and what replicas report with replies.
 package replica
 
 import (
