--- a/allowance/tokens_test.go
+++ b/allowance/tokens_test.go
@@ -263,3 +263,18 @@
 		qt.Assert(t, kept, qt.Equals, 1)
 	})
 }
+
+// A host of an earlier release, which would close the connection, is never asked.
+func TestEarlierReleaseIsNotAsked(t *testing.T) {
+	hosts := &allowance.Hosts{Name: "new", Domain: "d0", Now: time.Now}
+	list := []shard.Host{{Name: "new", FailureDomain: "d0", KeepsAllowances: true}}
+	for i := range 20 {
+		list = append(list, shard.Host{Name: fmt.Sprint("old", i), FailureDomain: fmt.Sprint("d", i%2)})
+	}
+	hosts.Update(list)
+	keeper, ok := hosts.Keeper("workspace/w", "d0")
+	qt.Assert(t, ok, qt.IsTrue)
+	qt.Assert(t, keeper.Name, qt.Equals, "new")
+	_, ok = hosts.Keeper("workspace/w", "d1")
+	qt.Assert(t, ok, qt.IsFalse)
+}
