--- a/allowance/allowance_test.go
+++ b/allowance/allowance_test.go
@@ -77,6 +77,20 @@
 	}
 }
 
+// stop takes hosts off the list, as a graceful stop does, and starts them again.
+func stop(nodes func(fault, *world) []*node) func(fault, *world) func() {
+	return func(fault fault, world *world) func() {
+		for _, node := range nodes(fault, world) {
+			node.leaving, node.leaseUntil = true, time.Time{}
+		}
+		return func() {
+			for _, node := range nodes(fault, world) {
+				world.start(node, domains)
+			}
+		}
+	}
+}
+
 func one(fault fault, world *world) []*node { return []*node{fault.node(world)} }
 
 func domainOf(fault fault, world *world) []*node {
@@ -100,6 +114,7 @@
 var faults = map[string]func(fault, *world) (end func()){
 	"kill":        kill(one),
 	"herd kill":   kill(fault.set),
+	"herd pause":  each(fault.set, func(node *node, on bool) { node.frozen = on }),
 	"pause":       each(one, func(node *node, on bool) { node.frozen = on }),
 	"isolate":     each(one, func(node *node, on bool) { node.cut = on }),
 	"store cut":   each(fault.set, func(node *node, on bool) { node.storeCut = on }),
@@ -108,11 +123,8 @@
 	"lower":       setLimit(0.2),
 	"raise":       setLimit(1.5),
 	"split store": splitFromStore,
-	"stop": func(fault fault, world *world) func() {
-		node := fault.node(world)
-		node.leaving, node.leaseUntil = true, time.Time{}
-		return func() { world.start(node, domains) }
-	},
+	"stop":        stop(one),
+	"herd stop":   stop(fault.set),
 	"store down": func(_ fault, world *world) func() {
 		world.storeDown = true
 		return func() { world.storeDown = false }
@@ -163,7 +175,7 @@
 			end()
 		})
 	}
-	next := begin
+	next := begin.Add(world.quiet)
 	for time.Since(begin) < length {
 		world.step(time.Now())
 		for until := time.Now().Add(stepTime); time.Now().Before(until); {
@@ -189,10 +201,13 @@
 // Whatever fails, all hosts together never allow more than the rule does in any
 // window.
 func TestNeverBeyondTheBound(t *testing.T) {
-	for _, count := range []int{6, 60} {
+	for _, count := range []int{6, 60, 130} {
 		t.Run(fmt.Sprint(count, " hosts"), func(t *testing.T) {
 			rapid.Check(t, func(r *rapid.T) {
 				limit := newLimit(rapid.Float64Range(0.1, 40).Draw(r, "rate"), rapid.Float64Range(0, 40).Draw(r, "burst"))
+				if rapid.Bool().Draw(r, "cold replica") {
+					limit = allowance.Limit{Rate: limit.Rate, Window: time.Second, Overage: 0.5, Slack: 5}
+				}
 				callers := rapid.SliceOfN(rapid.IntRange(0, count-1), 1, 12).Draw(r, "callers")
 				demand := limit.Rate*rapid.Float64Range(0.3, 7.5).Draw(r, "demand") + 1
 				var planned []fault
@@ -221,23 +236,52 @@
 	}
 }
 
+// Each fault alone, with a limit so high that a few seconds of a second keeper exceed the
+// bound, and two of each kind that overlap.
+func TestEachFault(t *testing.T) {
+	for _, kind := range slices.Sorted(maps.Keys(faults)) {
+		for _, share := range []float64{0.3, 0.6} {
+			t.Run(fmt.Sprint(kind, " ", share), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					world := newWorld(24, domains, newLimit(100, 50), 3)
+					play(world, 60*time.Second, world.all(), 250, []fault{
+						{at: 15 * time.Second, length: 20 * time.Second, kind: kind, target: 1, share: share},
+						{at: 21 * time.Second, length: 25 * time.Second, kind: kind, target: 502, share: share},
+					})
+					excess, _, requests := world.worst()
+					t.Logf("%.0f below the bound, refused %d, unknown %d", -excess, world.refused, world.unknown)
+					qt.Assert(t, excess <= 0, qt.IsTrue, qt.Commentf("%d requests in a window, %.1f more than the bound", requests, excess))
+				})
+			})
+		}
+	}
+}
+
 // When nothing fails and more is wanted than allowed, nearly all of the allowance is
 // used, wherever the requests come in.
 func TestAllowanceIsUsed(t *testing.T) {
 	for _, test := range []struct {
 		hosts, callers int
 		rate, demand   float64
+		// cold is set for the limit of a cold replica.
+		cold bool
 	}{
+		{hosts: 60, callers: 46, rate: 8, demand: 30, cold: true},
 		{hosts: 6, callers: 1, rate: 18, demand: 40},
 		{hosts: 60, callers: 1, rate: 18, demand: 130},
 		{hosts: 60, callers: 46, rate: 18, demand: 130},
 		{hosts: 60, callers: 4, rate: 2, demand: 6},
 		{hosts: 130, callers: 46, rate: 22, demand: 80},
 		{hosts: 130, callers: 130, rate: 200, demand: 400},
+		{hosts: 1000, callers: 46, rate: 22, demand: 80},
+		{hosts: 1000, callers: 1000, rate: 500, demand: 800},
 	} {
 		t.Run(fmt.Sprint(test), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				limit := newLimit(test.rate, test.rate)
+				if test.cold {
+					limit = allowance.Limit{Rate: test.rate, Window: time.Second, Overage: 0.5, Slack: 5}
+				}
 				world := newWorld(test.hosts, domains, limit, 7)
 				var callers []int
 				for i := range test.callers {
@@ -295,3 +339,24 @@
 		tokens.Take(context.Background(), "workspace/w", limit)
 	}
 }
+
+// The usual demand, which is 1/1.6 of the allowance, is not refused but for one request in 100, and one at the start, however small
+// the workspace is and wherever its requests come in.
+func TestUsualDemandIsAllowed(t *testing.T) {
+	for _, rate := range []float64{0.13, 0.5, 2, 20} {
+		t.Run(fmt.Sprint(rate), func(t *testing.T) {
+			allowed, refused := 0, 0
+			for seed := range uint64(10) {
+				synctest.Test(t, func(*testing.T) {
+					world := newWorld(60, domains, newLimit(rate, rate), seed)
+					// Callers come when the hosts have run for some time.
+					world.quiet = 14 * time.Second
+					play(world, 74*time.Second, world.all()[:46], rate/1.6, nil)
+					allowed, refused = allowed+len(world.admitted), refused+world.refused+world.unknown
+				})
+			}
+			t.Logf("rate %v: allowed %d, refused %d", rate, allowed, refused)
+			qt.Assert(t, float64(refused) <= 1+0.01*float64(allowed), qt.IsTrue, qt.Commentf("%d of %d refused", refused, allowed+refused))
+		})
+	}
+}
--- a/allowance/hosts.go
+++ b/allowance/hosts.go
@@ -55,7 +55,7 @@
 	Registered func() bool
 	// Ended reports whether a host's process has ended: it refused a connection.
 	Ended func(host shard.Host) bool
-	// Ask sends an ask to another host.
+	// Ask sends an ask to another host; nil if there is no other.
 	Ask func(ctx context.Context, host shard.Host, ask *message.AllowanceAsk) (*message.AllowanceGrant, error)
 	// Shuffle shuffles n elements by swapping pairs, as rand.Shuffle does.
 	Shuffle func(n int, swap func(i, j int))
@@ -63,6 +63,9 @@
 	// they no longer do ("sure"); it may be nil.
 	Changed func(state string, listAge time.Duration)
 
+	// updating is held during an update, so that updates don't overtake each other.
+	updating sync.Mutex
+
 	mu sync.Mutex
 	// latest is the latest list as it was passed to Update.
 	latest []shard.Host
@@ -72,29 +75,50 @@
 	lists []domainList
 	// fingerprint identifies the latest of lists.
 	fingerprint string
-	// since is when this host last lost track of earlier lists.
-	since  time.Time
+	// unsure is set while this host's grants depend on votes.
 	unsure bool
 
 	// voting is closed when the vote in progress ends, nil when there is none.
 	voting chan struct{}
-	// confirmedAt is when a vote was last begun that was won, confirmedFor the list of
-	// hosts that it was about.
+	// confirmedAt is when a vote was last begun that was won, confirmedFor what it was
+	// about.
 	confirmedAt  time.Time
-	confirmedFor string
+	confirmedFor question
 	// votedAt is when one was last begun.
 	votedAt time.Time
 }
 
+// question is what a vote is about: a list of hosts, and whether it was recent.
+type question struct {
+	fingerprint string
+	recent      bool
+}
+
 // domainList is the hosts of this failure domain from a time on.
 type domainList struct {
 	placement *shard.Placement
 	hosts     []shard.Host
 	from      time.Time
+	// released maps earlier keepers to the time from which they are known to grant
+	// nothing that this host keeps by this list. asked maps them to the time at which
+	// they were last asked.
+	released, asked map[string]time.Time
+}
+
+// keeper returns the name of the host that keeps a limit by the list, empty if there is
+// none.
+func (list *domainList) keeper(limit, domain string) string {
+	keepers := list.placement.HostsForRole(limit, domain, 1)
+	if len(keepers) == 0 {
+		return ""
+	}
+	return keepers[0].Name
 }
 
 // Update replaces the list of hosts.
 func (hosts *Hosts) Update(list []shard.Host) {
+	hosts.updating.Lock()
+	defer hosts.updating.Unlock()
 	if !hosts.setLatest(list) {
 		return
 	}
@@ -121,7 +145,7 @@
 		from = now.Add(-takeoverTime)
 	}
 	hosts.fingerprint = fingerprint
-	hosts.lists = append(hosts.lists, domainList{placement: shard.New(local), hosts: local, from: from})
+	hosts.lists = append(hosts.lists, domainList{placement: shard.New(local), hosts: local, from: from, released: make(map[string]time.Time), asked: make(map[string]time.Time)})
 	hosts.forget(now)
 }
 
@@ -146,15 +170,15 @@
 	return true
 }
 
-// forget removes lists that are too old or too many. The caller holds the lock.
+// forget removes lists that are too old or too many. A host that keeps a limit by all
+// lists that are left counts as its keeper since the first of them, which is no earlier
+// than it became that. The caller holds the lock.
 func (hosts *Hosts) forget(now time.Time) {
 	for len(hosts.lists) > 1 && now.Sub(hosts.lists[1].from) > memory {
 		hosts.lists = hosts.lists[1:]
 	}
 	if len(hosts.lists) > maxLists {
 		hosts.lists = hosts.lists[1:]
-		// The next bucket must not begin before an earlier one that is forgotten.
-		hosts.since = now
 	}
 }
 
@@ -174,28 +198,75 @@
 }
 
 // Since returns the time from which this host grants tokens of a limit, by its lists,
-// and whether that time has come.
+// and whether that time has come: takeoverTime after it became the keeper, or sooner if
+// the earlier keepers have agreed.
 func (hosts *Hosts) Since(limit string) (time.Time, bool) {
 	hosts.mu.Lock()
 	defer hosts.mu.Unlock()
-	var from time.Time
-	for _, list := range slices.Backward(hosts.lists) {
-		keepers := list.placement.HostsForRole(limit, hosts.Domain, 1)
-		if len(keepers) == 0 || keepers[0].Name != hosts.Name {
-			break
-		}
-		from = list.from
+	first := len(hosts.lists)
+	for first > 0 && hosts.lists[first-1].keeper(limit, hosts.Domain) == hosts.Name {
+		first--
 	}
-	if from.IsZero() {
+	if first == len(hosts.lists) {
 		return time.Time{}, false
 	}
-	if from.Before(hosts.since) {
-		from = hosts.since
+	begin := hosts.lists[first].from.Add(takeoverTime)
+	if released, ok := hosts.releasedAt(first, limit); ok && released.Before(begin) {
+		begin = released
 	}
-	begin := from.Add(takeoverTime)
 	return begin, !hosts.Now().Before(begin)
 }
 
+// releasedAt returns the time from which no earlier keeper of a limit may grant, and
+// whether it is known: each host that kept the limit by a list of the takeoverTime before
+// this host did so has the latest list, or its process has ended. Those that were not
+// asked yet are asked in the background. The caller holds the lock.
+func (hosts *Hosts) releasedAt(first int, limit string) (time.Time, bool) {
+	list := &hosts.lists[first]
+	latest, all := list.from, true
+	settled := false
+	for i := first - 1; i >= 0 && !settled; i-- {
+		earlier := &hosts.lists[i]
+		settled = list.from.Sub(earlier.from) >= takeoverTime
+		keeper := earlier.keeper(limit, hosts.Domain)
+		if keeper == hosts.Name || keeper == "" {
+			continue
+		}
+		released, ok := list.released[keeper]
+		if !ok {
+			hosts.askRelease(list, earlier, keeper)
+			all = false
+		}
+		if released.After(latest) {
+			latest = released
+		}
+	}
+	return latest, all && settled
+}
+
+// askRelease asks an earlier keeper in the background whether it has the latest list, so
+// that it grants nothing more of what this host keeps. The caller holds the lock.
+func (hosts *Hosts) askRelease(list, earlier *domainList, name string) {
+	const interval = 200 * time.Millisecond
+	now := hosts.Now()
+	index := slices.IndexFunc(earlier.hosts, func(host shard.Host) bool { return host.Name == name })
+	if asked, ok := list.asked[name]; hosts.Ask == nil || index < 0 || ok && now.Sub(asked) < interval || now.Sub(list.from) > takeoverTime {
+		return
+	}
+	list.asked[name] = now
+	keeper, fingerprint, released := earlier.hosts[index], hosts.fingerprint, list.released
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), voteTimeout)
+		defer cancel()
+		if hosts.askVote(ctx, keeper, fingerprint, true) == voteNo {
+			return
+		}
+		hosts.mu.Lock()
+		defer hosts.mu.Unlock()
+		released[name] = hosts.Now()
+	}()
+}
+
 // Certain reports whether no other host of this failure domain can believe that it
 // keeps the same limits: the list of hosts is recent, or a majority of a sample of the
 // failure domain's hosts has the same list. If at least half of the hosts have left the
@@ -252,7 +323,7 @@
 // at most one at a time.
 func (hosts *Hosts) confirmed(ctx context.Context, electorate electorate, recent bool) bool {
 	hosts.mu.Lock()
-	if !hosts.holds(electorate) && hosts.voting == nil && hosts.Now().Sub(hosts.votedAt) >= voteInterval/2 {
+	if !hosts.holds(electorate, recent) && hosts.voting == nil && hosts.Now().Sub(hosts.votedAt) >= voteInterval/2 {
 		hosts.voting, hosts.votedAt = make(chan struct{}), hosts.Now()
 		go hosts.takeVote(electorate, recent)
 	}
@@ -266,13 +337,13 @@
 	}
 	hosts.mu.Lock()
 	defer hosts.mu.Unlock()
-	return hosts.holds(electorate)
+	return hosts.holds(electorate, recent)
 }
 
 // holds reports whether a vote for an electorate's list was won and still holds. The
 // caller holds the lock.
-func (hosts *Hosts) holds(electorate electorate) bool {
-	return hosts.confirmedFor == electorate.fingerprint && hosts.Now().Sub(hosts.confirmedAt) < voteInterval
+func (hosts *Hosts) holds(electorate electorate, recent bool) bool {
+	return hosts.confirmedFor == (question{electorate.fingerprint, recent}) && hosts.Now().Sub(hosts.confirmedAt) < voteInterval
 }
 
 // takeVote takes a vote and records that it was won.
@@ -282,7 +353,7 @@
 	hosts.mu.Lock()
 	defer hosts.mu.Unlock()
 	if won {
-		hosts.confirmedAt, hosts.confirmedFor = begin, electorate.fingerprint
+		hosts.confirmedAt, hosts.confirmedFor = begin, question{electorate.fingerprint, recent}
 	}
 	close(hosts.voting)
 	hosts.voting = nil
--- a/feed/follower.go
+++ b/feed/follower.go
@@ -28,6 +28,10 @@
 	// itself, as a share of that bound. It leaves time for the next host to take over
 	// as the reader, and for the lag of a read.
 	ownListAgeRatio = 0.63
+	// maxOwnListAge bounds that age. It stays below the time without a list that the
+	// roster takes for an outage of the store, after which it keeps replicas that are
+	// missing from the list, and leaves time for the next check and the read.
+	maxOwnListAge = 2100 * time.Millisecond
 	// configAgeRatio is the time since the store confirmed the configuration after
 	// which a host reads it itself, as a share of that bound. The reader confirms it
 	// once a second and followers fetch that within half a second. It bounds how late
@@ -104,6 +108,9 @@
 	// firstFetchAt is when FetchOnce was first called.
 	firstFetchAt time.Time
 	transfer     transfer
+	// earlierSource is set while this host fetches from one of an earlier release,
+	// whose list of hosts leaves out what that release does not know.
+	earlierSource atomic.Bool
 }
 
 // share returns a share of a bound on how late changes are known.
@@ -114,7 +121,7 @@
 // MustReadStore reports whether this host has to read the store itself: because
 // it is the reader, or because its lists are too old.
 func (follower *Follower) MustReadStore() bool {
-	limit := share(ownListAgeRatio, follower.Bound)
+	limit := min(share(ownListAgeRatio, follower.Bound), maxOwnListAge)
 	for i, host := range follower.ranking().candidates {
 		if host.Name != follower.Name {
 			continue
@@ -129,6 +136,27 @@
 	return follower.Now().Sub(follower.ReadAt()) > limit
 }
 
+// MustReadHosts reports whether this host has to read the list of hosts itself: because
+// it has to read the store, or because it fetches from a host of an earlier release.
+func (follower *Follower) MustReadHosts() bool {
+	return follower.earlierSource.Load() || follower.MustReadStore()
+}
+
+// FetchedHostsSince reports whether a list of hosts was fetched that was read after a
+// time.
+func (follower *Follower) FetchedHostsSince(readAt time.Time) bool {
+	return !follower.earlierSource.Load() && follower.FetchedSince(readAt)
+}
+
+// HostsReadAt returns a time at which the list of hosts that this host has was still
+// valid.
+func (follower *Follower) HostsReadAt() time.Time {
+	if follower.earlierSource.Load() {
+		return follower.ListsReadAt()
+	}
+	return follower.ReadAt()
+}
+
 // IsCandidate reports whether other hosts of the failure domain fetch from this one.
 func (follower *Follower) IsCandidate() bool {
 	return slices.ContainsFunc(follower.ranking().candidates, func(host shard.Host) bool { return host.Name == follower.Name })
@@ -234,6 +262,7 @@
 	if reply.ConfigAgeMicros == neverRead || configAge+elapsed > maxConfigAge {
 		return false, fmt.Errorf("host %s has no recent configuration, age %v", host.Name, configAge+elapsed)
 	}
+	follower.earlierSource.Store(!reply.EvacuationsKnown)
 	confirmedAt := sentAt.Add(-configAge)
 	if err := follower.receiveEvacuations(reply, confirmedAt); err != nil {
 		return false, fmt.Errorf("host %s: %w", host.Name, err)
@@ -311,7 +340,7 @@
 		follower.replicas = make(map[string]roster.Replica, len(reply.Replicas))
 	}
 	for _, encoded := range reply.Replicas {
-		follower.replicas[encoded.ID] = decodeReplica(encoded)
+		follower.replicas[encoded.ID] = decodeReplica(encoded).ReceivedAt(follower.Now())
 	}
 	for _, id := range reply.Gone {
 		delete(follower.replicas, id)
@@ -330,5 +359,7 @@
 func (follower *Follower) publish() {
 	follower.publishedAt = follower.Now()
 	follower.UpdateReplicas(slices.Collect(maps.Values(follower.replicas)))
-	follower.UpdateHosts(follower.hosts)
+	if !follower.earlierSource.Load() {
+		follower.UpdateHosts(follower.hosts)
+	}
 }
--- a/replica/picker.go
+++ b/replica/picker.go
@@ -47,6 +47,9 @@
 	// Suspected reports whether a replica has had consecutive late replies; it
 	// may be nil.
 	Suspected func(address string) bool
+	// PeekSuspected returns what Suspected does, without a change of state; nil if
+	// Suspected changes none.
+	PeekSuspected func(address string) bool
 
 	states sharded[*state]
 	// pausesEnd is the latest end of a pause, nil before the first one, so that
--- a/suspect/suspect.go
+++ b/suspect/suspect.go
@@ -41,8 +41,9 @@
 type Tracker struct {
 	// Now is the clock. Only differences are used.
 	Now func() time.Time
-	// OnSuspected, if not nil, is called when a replica or host becomes suspected,
-	// with the duration of its streak.
+	// OnSuspected, if not nil, is called with the duration of the streak when a replica
+	// or host is found to be suspected: by an own request, or by the first choice that
+	// another host's report affects.
 	OnSuspected func(name string, late time.Duration)
 
 	mu      sync.Mutex
@@ -101,8 +102,7 @@
 	return streak.active(now) && streak.lastLate.Sub(streak.firstLate) >= minStreak
 }
 
-// Suspected reports whether requests should avoid a replica or host. It changes no
-// state.
+// Suspected reports whether requests should avoid a replica or host.
 func (tracker *Tracker) Suspected(name string) bool {
 	tracker.mu.Lock()
 	defer tracker.mu.Unlock()
@@ -110,7 +110,18 @@
 	if streak == nil {
 		return false
 	}
-	return streak.suspected(tracker.Now())
+	now := tracker.Now()
+	tracker.report(name, streak, now)
+	return streak.suspected(now)
+}
+
+// Peek reports whether requests should avoid a replica or host, as Suspected does, but
+// does not call OnSuspected and changes no state.
+func (tracker *Tracker) Peek(name string) bool {
+	tracker.mu.Lock()
+	defer tracker.mu.Unlock()
+	streak := tracker.streaks[name]
+	return streak != nil && streak.suspected(tracker.Now())
 }
 
 // report calls OnSuspected once for each time that a name becomes suspected.
@@ -154,7 +165,8 @@
 	return slices.Clone(streaks[:min(len(streaks), maxStreaks)])
 }
 
-// Merge merges the streaks received from another host. It is idempotent.
+// Merge merges the streaks received from another host. It is idempotent. It reports no
+// suspicion, since most hosts of a large fleet never choose among those replicas.
 func (tracker *Tracker) Merge(streaks []message.Streak) {
 	tracker.mu.Lock()
 	defer tracker.mu.Unlock()
@@ -162,10 +174,7 @@
 	for _, received := range streaks {
 		local := tracker.streak(received.Name)
 		tracker.late[received.Name] = local
-		// A streak that has expired may be followed by another one.
-		tracker.report(received.Name, local, now)
 		local.merge(streak{lastTimely: timeOfAge(now, received.TimelyMillis), firstLate: timeOfAge(now, received.FirstMillis), lastLate: timeOfAge(now, received.LastMillis)})
-		tracker.report(received.Name, local, now)
 	}
 }
 
--- a/where/text.go
+++ b/where/text.go
@@ -104,7 +104,7 @@
 			fmt.Fprintf(table, "%s\t%s\tnone listed\n", part.Service, by)
 		}
 		for _, replica := range part.Replicas {
-			fmt.Fprintf(table, "%s\t%s\t%s\n", part.Service, by, replica.row(part.Chosen == replica.ID))
+			fmt.Fprintf(table, "%s\t%s\t%s\n", part.Service, by, replica.row(part.Chosen == replica.ID, part.AwaitsToken))
 		}
 		if part.WaitMillis > 0 {
 			fmt.Fprintf(table, "%s\t%s\twaits %s for the end of a pause\n", part.Service, by, millis(part.WaitMillis))
@@ -120,33 +120,34 @@
 }
 
 // row returns the cells of a replica in the table.
-func (replica *Replica) row(chosen bool) string {
+func (replica *Replica) row(chosen, awaitsToken bool) string {
 	cells := []string{
 		replica.ID, replica.FailureDomain, millis(replica.ScoreMillis), fmt.Sprint(replica.Outstanding),
 		known(millis(replica.OwnMillis), replica.OwnAgeMillis), known(millis(replica.OwnAgeMillis), replica.OwnAgeMillis),
 		known(fmt.Sprint(replica.Running), replica.LoadAgeMillis), known(fmt.Sprint(replica.Waiting), replica.LoadAgeMillis), known(millis(replica.LoadAgeMillis), replica.LoadAgeMillis),
 		known(fmt.Sprintf("%.2f", replica.Slowness), replica.SlownessAgeMillis), known(millis(replica.SlownessAgeMillis), replica.SlownessAgeMillis),
-		replica.why(chosen),
+		replica.why(chosen, awaitsToken),
 	}
 	return strings.Join(cells, "\t")
 }
 
 // why describes why the replica is chosen, considered or excluded.
-func (replica *Replica) why(chosen bool) string {
+func (replica *Replica) why(chosen, awaitsToken bool) string {
 	var reasons []string
 	add := func(condition bool, format string, values ...any) {
 		if condition {
 			reasons = append(reasons, fmt.Sprintf(format, values...))
 		}
 	}
-	add(chosen, "chosen")
+	add(chosen && !awaitsToken, "chosen")
+	add(chosen && awaitsToken, "chosen, once there is a token")
 	add(replica.Excluded != "", "excluded: %s", replica.Excluded)
 	add(replica.PausedMillis > 0, "paused for %s", millis(replica.PausedMillis))
 	add(replica.Ramp < 1, "considered with a probability of %.2f after an ejection", replica.Ramp)
 	add(replica.Suspected, "late in succession")
 	add(replica.DistanceMillis > 0, "%s for its distance", millis(replica.DistanceMillis))
 	add(replica.SilenceMillis > 0, "no reply for %s", millis(replica.SilenceMillis))
-	add(replica.WarmupMillis > 0, "cold, said %s", millis(replica.WarmupMillis))
+	add(replica.ColdMillis > 0, "cold for %s", millis(replica.ColdMillis))
 	return strings.Join(reasons, ", ")
 }
 
