--- a/dispatch/attempt.go
+++ b/dispatch/attempt.go
@@ -77,7 +77,7 @@
 // replica is left to try.
 func (run *run) startAttempt(index int, hedge bool) bool {
 	part := run.parts[index]
-	choice := run.choice(run.candidates(part))
+	choice := run.choice(run.candidates(part), takeNow)
 	if choice.waits && hedge {
 		return false
 	}
--- a/dispatch/cold.go
+++ b/dispatch/cold.go
@@ -13,6 +13,9 @@
 type ColdLimits struct {
 	// Limited reports whether a replica is cold and its service limits what it gets.
 	Limited func(replica roster.Replica) bool
+	// PeekNow returns the decision of TakeNow without a change of state. It may be nil
+	// unless Explain is called.
+	PeekNow func(replica roster.Replica) allowance.Decision
 	// TakeNow takes a token for a request to a cold replica if this host has one. Await
 	// waits for one until ctx ends. Return gives back one that was not used.
 	TakeNow func(replica roster.Replica) allowance.Ticket
@@ -31,8 +34,8 @@
 
 // choice returns the replicas that may get an attempt now: those that are not cold, and
 // cold ones for which this host has a token. If there are none, an attempt has to wait
-// for a token.
-func (run *run) choice(candidates []roster.Replica) choice {
+// for a token. takeNow takes a token as TakeNow does.
+func (run *run) choice(candidates []roster.Replica, takeNow func(limits *ColdLimits, replica roster.Replica) allowance.Ticket) choice {
 	limits := run.dispatcher.Cold
 	if limits == nil || !anyLimited(limits, candidates) {
 		return choice{replicas: candidates}
@@ -41,7 +44,7 @@
 	for _, candidate := range candidates {
 		var ticket allowance.Ticket
 		if limits.Limited(candidate) {
-			ticket = limits.TakeNow(candidate)
+			ticket = takeNow(limits, candidate)
 			if ticket.Decision != allowance.Allowed {
 				continue
 			}
@@ -54,6 +57,14 @@
 	return admitted
 }
 
+func takeNow(limits *ColdLimits, replica roster.Replica) allowance.Ticket {
+	return limits.TakeNow(replica)
+}
+
+func peekNow(limits *ColdLimits, replica roster.Replica) allowance.Ticket {
+	return allowance.Ticket{Decision: limits.PeekNow(replica)}
+}
+
 func anyLimited(limits *ColdLimits, candidates []roster.Replica) bool {
 	for _, candidate := range candidates {
 		if limits.Limited(candidate) {
--- a/dispatch/explain.go
+++ b/dispatch/explain.go
@@ -14,6 +14,7 @@
 	OutsideHomes roster.Exclusion = "outside the homes"
 	AskedToPause roster.Exclusion = "asked for a pause"
 	Ejected      roster.Exclusion = "ejected"
+	Cold         roster.Exclusion = "cold, and this host has no token for it"
 )
 
 // Explanation is where a request would go now, and why.
@@ -43,6 +44,9 @@
 	// Chosen is the ID of the replica that would get the first attempt, empty if none
 	// would now or a peer chooses it.
 	Chosen string
+	// AwaitsToken is set if all replicas are cold and the chosen one gets the attempt once
+	// there is a token for it.
+	AwaitsToken bool
 	// Wait is how long the first attempt waits for the end of a pause.
 	Wait time.Duration
 	// Replicas are those listed. ReplicasLeftOut counts those that are not explained.
@@ -107,14 +111,18 @@
 func (run *run) explainPart(part *part, listed []roster.Listed, preview *replica.Preview, peer string) ExplainedPart {
 	explained := ExplainedPart{Service: part.service, Peer: peer}
 	candidates := run.candidates(part)
-	ids := make([]string, len(candidates))
-	accepted := make(map[string]bool, len(candidates))
-	for i, candidate := range candidates {
-		ids[i], accepted[candidate.ID] = candidate.ID, true
+	choice := run.choice(candidates, peekNow)
+	ids := make([]string, len(choice.replicas))
+	reasons := make(map[string]roster.Exclusion, len(candidates))
+	for _, candidate := range candidates {
+		reasons[candidate.ID] = Cold
+	}
+	for i, admitted := range choice.replicas {
+		ids[i], reasons[admitted.ID] = admitted.ID, ""
 	}
 	if peer == "" {
 		if chosen := preview.Pick(ids); chosen >= 0 {
-			explained.Chosen = ids[chosen]
+			explained.Chosen, explained.AwaitsToken = ids[chosen], choice.waits
 		} else if run.awaitPause(part) {
 			explained.Wait = part.resumeAt.Sub(run.dispatcher.Picker.Now())
 		}
@@ -122,27 +130,34 @@
 	shown := listed[:min(len(listed), maxExplainedReplicas)]
 	explained.ReplicasLeftOut = len(listed) - len(shown)
 	for _, each := range shown {
-		explained.Replicas = append(explained.Replicas, run.explainReplica(each, accepted[each.ID]))
+		if reason, isCandidate := reasons[each.ID]; isCandidate {
+			each.Excluded = reason
+		} else if each.Excluded == "" {
+			each.Excluded = run.exclusion(each.Replica)
+		}
+		explained.Replicas = append(explained.Replicas, run.explainReplica(each))
 	}
 	return explained
 }
 
-// explainReplica explains why a listed replica is a candidate or not.
-func (run *run) explainReplica(listed roster.Listed, isCandidate bool) ExplainedReplica {
+// exclusion returns why a replica that accepts requests is no candidate.
+func (run *run) exclusion(replica roster.Replica) roster.Exclusion {
+	switch {
+	case !run.allows(replica.FailureDomain):
+		return OutsideHomes
+	case run.dispatcher.Picker.Paused(replica.ID):
+		return AskedToPause
+	}
+	return ""
+}
+
+// explainReplica returns what is known of a replica.
+func (run *run) explainReplica(listed roster.Listed) ExplainedReplica {
 	picker := run.dispatcher.Picker
 	explained := ExplainedReplica{Replica: listed.Replica, Excluded: listed.Excluded, Candidate: picker.Explain([]string{listed.ID})[0]}
 	explained.PausedFor = max(0, picker.PausedUntil(listed.ID).Sub(picker.Now()))
-	switch {
-	case isCandidate:
-		explained.Excluded = ""
-		if explained.Candidate.Ejected {
-			explained.Excluded = Ejected
-		}
-	case explained.Excluded != "":
-	case !run.allows(listed.FailureDomain):
-		explained.Excluded = OutsideHomes
-	case explained.PausedFor > 0:
-		explained.Excluded = AskedToPause
+	if explained.Excluded == "" && explained.Candidate.Ejected {
+		explained.Excluded = Ejected
 	}
 	return explained
 }
--- a/peer/peer_test.go
+++ b/peer/peer_test.go
@@ -415,10 +415,17 @@
 			now := time.Now()
 			delegator.Picker.Now = func() time.Time { return now }
 			request := &dispatch.Request{Route: &route.Route{Shards: shards(test.shards), LatencyTarget: 80 * time.Millisecond}}
+			ejected := delegator.Ejected
+			delegator.PeekEjected = ejected
+			delegator.Ejected = func(string) bool {
+				t.Error("a preview asked as a plan does")
+				return false
+			}
 			before := delegator.Picker.Explain(names)
 			previewed := delegator.Preview(request, nil)
 			qt.Assert(t, delegator.Preview(request, nil), qt.DeepEquals, previewed)
 			qt.Assert(t, delegator.Picker.Explain(names), qt.DeepEquals, before)
+			delegator.Ejected = ejected
 			qt.Assert(t, delegator.Plan(request, nil), qt.DeepEquals, previewed)
 			distinct := make(map[string]bool)
 			for _, bundle := range previewed {
--- a/peer/plan.go
+++ b/peer/plan.go
@@ -38,6 +38,8 @@
 	*Delegator
 	// pick chooses one of several peers by their names.
 	pick func(names []string) int
+	// ejected reports whether a replica is temporarily not used.
+	ejected func(id string) bool
 }
 
 // Plan returns the bundles that peers are to gather. Each remote shard, which
@@ -50,12 +52,16 @@
 //
 // The picker counts each bundle as outstanding at its peer.
 func (delegator *Delegator) Plan(request *dispatch.Request, allows func(domain string) bool) []dispatch.Bundle {
-	return planner{Delegator: delegator, pick: delegator.Picker.Pick}.plan(request, allows)
+	return planner{Delegator: delegator, pick: delegator.Picker.Pick, ejected: delegator.Ejected}.plan(request, allows)
 }
 
 // Preview returns the bundles that Plan would return now. It changes no state.
 func (delegator *Delegator) Preview(request *dispatch.Request, allows func(domain string) bool) []dispatch.Bundle {
-	return planner{Delegator: delegator, pick: delegator.Picker.Preview().Pick}.plan(request, allows)
+	planner := planner{Delegator: delegator, pick: delegator.Picker.Preview().Pick, ejected: delegator.PeekEjected}
+	if planner.ejected == nil {
+		planner.ejected = delegator.Ejected
+	}
+	return planner.plan(request, allows)
 }
 
 func (planner planner) plan(request *dispatch.Request, allows func(domain string) bool) []dispatch.Bundle {
@@ -191,14 +197,14 @@
 // remoteShards returns the shards without a replica in this host's failure
 // domain, with the domains of their replicas. Replicas that are ejected don't count,
 // but for those of this domain if withEjected is set.
-func (delegator *Delegator) remoteShards(shards []string, withEjected bool, allows func(domain string) bool) map[string][]string {
+func (planner planner) remoteShards(shards []string, withEjected bool, allows func(domain string) bool) map[string][]string {
 	remote := make(map[string][]string)
 	for _, shard := range shards {
 		local := false
 		var domains []string
-		for _, replica := range delegator.Replicas(shard) {
-			isLocal := replica.FailureDomain == delegator.Domain
-			if !allows(replica.FailureDomain) || !(isLocal && withEjected) && delegator.Ejected(replica.ID) {
+		for _, replica := range planner.Replicas(shard) {
+			isLocal := replica.FailureDomain == planner.Domain
+			if !allows(replica.FailureDomain) || !(isLocal && withEjected) && planner.ejected(replica.ID) {
 				continue
 			}
 			local = local || isLocal
--- a/replica/explain.go
+++ b/replica/explain.go
@@ -63,16 +63,16 @@
 
 // Explain returns how Pick would judge replicas now. It changes no state.
 func (picker *Picker) Explain(addresses []string) []Candidate {
-	now := picker.Now()
+	now, peeking := picker.Now(), picker.withoutStates()
 	candidates := make([]Candidate, len(addresses))
 	for i, address := range addresses {
 		state := picker.snapshot(address)
 		candidate := Candidate{Status: state.status(address, now), Ramp: state.ramp(now)}
-		candidate.Score = time.Duration(picker.withPenalties(state.expectedTime(now), address))
-		if picker.Distance != nil {
-			candidate.Distance = picker.Distance(address)
+		candidate.Score = time.Duration(peeking.withPenalties(state.expectedTime(now), address))
+		if peeking.Distance != nil {
+			candidate.Distance = peeking.Distance(address)
 		}
-		candidate.Suspected = picker.Suspected != nil && picker.Suspected(address)
+		candidate.Suspected = peeking.Suspected != nil && peeking.Suspected(address)
 		candidates[i] = candidate
 	}
 	return candidates
--- a/replica/preview.go
+++ b/replica/preview.go
@@ -11,8 +11,16 @@
 
 // Preview returns a preview of the next attempts.
 func (picker *Picker) Preview() *Preview {
-	copied := &Picker{Now: picker.Now, Random: picker.Random, Distance: picker.Distance, Suspected: picker.Suspected}
-	return &Preview{picker: picker, copied: copied, known: make(map[string]bool)}
+	return &Preview{picker: picker, copied: picker.withoutStates(), known: make(map[string]bool)}
+}
+
+// withoutStates returns a picker that knows no replica and changes no state but its own.
+func (picker *Picker) withoutStates() *Picker {
+	copied := &Picker{Now: picker.Now, Random: picker.Random, Distance: picker.Distance, Suspected: picker.PeekSuspected}
+	if copied.Suspected == nil {
+		copied.Suspected = picker.Suspected
+	}
+	return copied
 }
 
 // Pick returns the index of the replica that Pick of the picker would return, had it
--- a/where/where.go
+++ b/where/where.go
@@ -93,6 +93,9 @@
 	// Chosen is the replica that would get the first attempt, empty if there is none
 	// now or a peer chooses it.
 	Chosen string `json:",omitempty"`
+	// AwaitsToken is set if all replicas are cold and the chosen one gets the attempt once
+	// there is a token for it.
+	AwaitsToken bool `json:",omitempty"`
 	// WaitMillis is how long the first attempt would wait for the end of a pause.
 	WaitMillis      float64 `json:",omitempty"`
 	Replicas        []Replica
@@ -106,8 +109,8 @@
 	Excluded string `json:",omitempty"`
 	// PausedMillis is how long the replica wants no requests.
 	PausedMillis float64 `json:",omitempty"`
-	// WarmupMillis is how much longer the replica said that it is cold.
-	WarmupMillis float64 `json:",omitempty"`
+	// ColdMillis is how much longer the replica is cold.
+	ColdMillis float64 `json:",omitempty"`
 	// Ramp is the probability with which the replica is considered, below 1 after an
 	// ejection.
 	Ramp float64
