allowance: read a fake in order in the test of shared asks

Cause: the test read what the fake keeper had written without waiting for it, which the race detector reports.

--- a/allowance/tokens_test.go
+++ b/allowance/tokens_test.go
@@ -141,6 +141,7 @@
 			}()
 		}
 		time.Sleep(time.Second)
+		synctest.Wait()
 		qt.Assert(t, keepers.wanted, qt.HasLen, 2)
 		qt.Assert(t, keepers.wanted[1], qt.Equals, 3.0, qt.Commentf("the second is made ahead of need"))
 		qt.Assert(t, tokens.Counts()[0].Allowed, qt.Equals, int64(20))
