--- a/caller/drained_test.go
+++ b/caller/drained_test.go
@@ -94,6 +94,40 @@
 	qt.Assert(t, <-stopped, qt.IsNil)
 }
 
+// Guards against a stop that closes a kept connection of which half a head was read
+// before it began.
+func TestStopWaitsForTheRestOfAHeadOnAKeptConnection(t *testing.T) {
+	held := newHeldListener(listen(t))
+	held.startReads, held.reads = make(chan bool), nil
+	server := serveHeld(t, held, 10)
+	conn := dial(t, held.Addr().String())
+	<-held.accepted
+	send(t, conn, "/first")
+	held.startReads <- true
+	held.startReads <- true
+	qt.Assert(t, answer(t, conn), qt.Equals, "HTTP/1.1 200 OK")
+	<-server.idle
+	_, err := io.WriteString(conn, "GET /last HTTP/1.1\r\nHost:")
+	qt.Assert(t, err, qt.IsNil)
+	held.startReads <- true
+	// The next read begins after this one was recorded.
+	held.startReads <- true
+	other := dial(t, held.Addr().String())
+	send(t, other, "/first")
+	qt.Assert(t, answer(t, other), qt.Equals, "HTTP/1.1 200 OK")
+	<-server.idle
+	close(held.startReads)
+	stopped := make(chan error, 1)
+	go func() { stopped <- server.Shutdown(t.Context()) }()
+	// The check that closes this one comes to the other in the same pass.
+	_, err = other.Read(make([]byte, 1))
+	qt.Assert(t, err, qt.Equals, io.EOF)
+	_, err = io.WriteString(conn, " x\r\n\r\n")
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, answer(t, conn), qt.Equals, "HTTP/1.1 200 OK")
+	qt.Assert(t, <-stopped, qt.IsNil)
+}
+
 // Guards against the body of a request that is not read, because a stop's check came
 // between its head, which was read early, and its handler.
 func TestStopReadsTheBodyOfAnEarlyRequest(t *testing.T) {
