--- a/dispatch/explain_test.go
+++ b/dispatch/explain_test.go
@@ -82,11 +82,7 @@
 		time.Sleep(100 * time.Millisecond)
 		request := newRequest(singleRoute(true))
 		request.Route.Homes = []string{"north"}
-		picker.PeekSuspected = func(id string) bool { return id == "s0j" }
-		picker.Suspected = func(string) bool {
-			t.Error("an explanation asked as a choice does")
-			return false
-		}
+		picker.Suspected = func(id string) bool { return id == "s0j" }
 		before := picker.Explain(ids)
 		explanation := dispatcher.Explain(request)
 		for range 50 {
@@ -108,7 +104,6 @@
 		qt.Check(t, explained[6].PausedFor, qt.Equals, 300*time.Millisecond)
 		qt.Check(t, explained[8].Candidate.Ramp < 1, qt.IsTrue)
 		qt.Check(t, explained[9].Candidate.Suspected, qt.IsTrue)
-		picker.Suspected = picker.PeekSuspected
 		var sent []string
 		dispatcher.Send = func(_ context.Context, attempt *dispatch.Attempt) *dispatch.Reply {
 			sent = append(sent, attempt.Replica.ID)
--- a/peer/delegator.go
+++ b/peer/delegator.go
@@ -46,9 +46,6 @@
 	Replicas func(service string) []roster.Replica
 	// Ejected reports whether a replica is temporarily not used.
 	Ejected func(id string) bool
-	// PeekEjected returns what Ejected does, without a change of state; nil if Ejected
-	// changes none.
-	PeekEjected func(id string) bool
 	// Call sends a request to a peer and calls handle with each reply until it
 	// returns false. Errors are *verdict.Failure.
 	Call func(ctx context.Context, peer shard.Host, request *message.GatherRequest, handle func(*message.GatherReply) (more bool)) error
--- a/replica/picker.go
+++ b/replica/picker.go
@@ -1,6 +1,5 @@
 // Package replica selects a replica of a shard by what this host knows of each
-// one: what it has measured, what replicas report with replies, and what other
-// hosts of its failure domain have measured.
+// one: what it has measured, and what replicas report with replies.
 package replica
 
 import (
@@ -47,9 +46,6 @@
 	// Suspected reports whether a replica has had consecutive late replies; it
 	// may be nil.
 	Suspected func(address string) bool
-	// PeekSuspected returns what Suspected does, without a change of state; nil if
-	// Suspected changes none.
-	PeekSuspected func(address string) bool
 
 	states sharded[*state]
 	// pausesEnd is the latest end of a pause, nil before the first one, so that
--- a/suspect/suspect.go
+++ b/suspect/suspect.go
@@ -34,6 +34,8 @@
 	lastTimely time.Time
 	firstLate  time.Time
 	lastLate   time.Time
+	// observed is set once this host itself has recorded a reply.
+	observed bool
 }
 
 // Tracker tracks the streaks of late replies of replicas and hosts. Set the
@@ -42,8 +44,7 @@
 	// Now is the clock. Only differences are used.
 	Now func() time.Time
 	// OnSuspected, if not nil, is called with the duration of the streak when a replica
-	// or host is found to be suspected: by an own request, or by the first choice that
-	// another host's report affects.
+	// or host becomes suspected to which this host has sent requests itself.
 	OnSuspected func(name string, late time.Duration)
 
 	mu      sync.Mutex
@@ -74,7 +75,8 @@
 func (tracker *Tracker) RecordTimely(name string) {
 	tracker.mu.Lock()
 	defer tracker.mu.Unlock()
-	tracker.streak(name).lastTimely = tracker.Now()
+	streak := tracker.streak(name)
+	streak.lastTimely, streak.observed = tracker.Now(), true
 }
 
 // RecordLate records a request that failed, was answered late, or has been
@@ -83,6 +85,7 @@
 	tracker.mu.Lock()
 	defer tracker.mu.Unlock()
 	streak := tracker.streak(name)
+	streak.observed = true
 	now := tracker.Now()
 	if !streak.active(now) {
 		streak.firstLate = now
@@ -102,7 +105,8 @@
 	return streak.active(now) && streak.lastLate.Sub(streak.firstLate) >= minStreak
 }
 
-// Suspected reports whether requests should avoid a replica or host.
+// Suspected reports whether requests should avoid a replica or host. It changes no
+// state.
 func (tracker *Tracker) Suspected(name string) bool {
 	tracker.mu.Lock()
 	defer tracker.mu.Unlock()
@@ -110,18 +114,7 @@
 	if streak == nil {
 		return false
 	}
-	now := tracker.Now()
-	tracker.report(name, streak, now)
-	return streak.suspected(now)
-}
-
-// Peek reports whether requests should avoid a replica or host, as Suspected does, but
-// does not call OnSuspected and changes no state.
-func (tracker *Tracker) Peek(name string) bool {
-	tracker.mu.Lock()
-	defer tracker.mu.Unlock()
-	streak := tracker.streaks[name]
-	return streak != nil && streak.suspected(tracker.Now())
+	return streak.suspected(tracker.Now())
 }
 
 // report calls OnSuspected once for each time that a name becomes suspected.
@@ -135,7 +128,8 @@
 		return
 	}
 	tracker.reported[name] = true
-	if tracker.OnSuspected != nil {
+	// Most hosts of a large fleet never choose among most of the replicas.
+	if tracker.OnSuspected != nil && streak.observed {
 		tracker.OnSuspected(name, streak.lastLate.Sub(streak.firstLate))
 	}
 }
@@ -165,8 +159,7 @@
 	return slices.Clone(streaks[:min(len(streaks), maxStreaks)])
 }
 
-// Merge merges the streaks received from another host. It is idempotent. It reports no
-// suspicion, since most hosts of a large fleet never choose among those replicas.
+// Merge merges the streaks received from another host. It is idempotent.
 func (tracker *Tracker) Merge(streaks []message.Streak) {
 	tracker.mu.Lock()
 	defer tracker.mu.Unlock()
@@ -174,7 +167,10 @@
 	for _, received := range streaks {
 		local := tracker.streak(received.Name)
 		tracker.late[received.Name] = local
+		// A streak that has expired may be followed by another one.
+		tracker.report(received.Name, local, now)
 		local.merge(streak{lastTimely: timeOfAge(now, received.TimelyMillis), firstLate: timeOfAge(now, received.FirstMillis), lastLate: timeOfAge(now, received.LastMillis)})
+		tracker.report(received.Name, local, now)
 	}
 }
 
