message: remove the estimates that no host sends

Cause: sharing measurements of replicas through the feed lost on the model; its fields were left in two messages, empty, in each fetch. Change: they are removed. Hosts skip unknown fields and take missing ones as empty. Result: go test ./feed ./peer ./allowance passes.

--- a/message/message.go
+++ b/message/message.go
@@ -66,27 +66,9 @@
 	Have uint64 `json:"Have"`
 }
 
-// Estimate is what a host measured of one replica.
-type Estimate struct {
-	// Age of the latest sample, in milliseconds.
-	AgeMillis int64 `json:"AgeMillis"`
-
-	// Average time of its replies, in microseconds.
-	LatencyMicros int64 `json:"LatencyMicros"`
-
-	// ID of the replica.
-	Name string `json:"Name"`
-
-	// Number of requests that waited at the replica by its last report.
-	Waiting int `json:"Waiting"`
-}
-
 // FeedFetch asks a host that reads the store for what has changed in the
 // configuration and in the lists of replicas and hosts.
 type FeedFetch struct {
-	// What the sending host, and those that told it, measured of replicas.
-	Estimates []Estimate `json:"Estimates"`
-
 	// Maximum size of the part of a configuration that the reply may contain, 0 for a
 	// whole one.
 	MaxConfigBytes int64 `json:"MaxConfigBytes"`
@@ -129,9 +111,6 @@
 	// Size of that configuration, in bytes.
 	ConfigBytes int64 `json:"ConfigBytes"`
 
-	// What the sending host, and those that told it, measured of replicas.
-	Estimates []Estimate `json:"Estimates"`
-
 	// Failure domains whose replicas get no requests.
 	Evacuated []string `json:"Evacuated"`
 
--- a/message/message_gen.go
+++ b/message/message_gen.go
@@ -440,101 +440,12 @@
 	return
 }
 
-// MarshalMsg implements msgp.Marshaler
-func (z *Estimate) MarshalMsg(b []byte) (o []byte, err error) {
-	o = msgp.Require(b, z.Msgsize())
-	// map header, size 4
-	// string "AgeMillis"
-	o = append(o, 0x84, 0xa9, 0x41, 0x67, 0x65, 0x4d, 0x69, 0x6c, 0x6c, 0x69, 0x73)
-	o = msgp.AppendInt64(o, z.AgeMillis)
-	// string "LatencyMicros"
-	o = append(o, 0xad, 0x4c, 0x61, 0x74, 0x65, 0x6e, 0x63, 0x79, 0x4d, 0x69, 0x63, 0x72, 0x6f, 0x73)
-	o = msgp.AppendInt64(o, z.LatencyMicros)
-	// string "Name"
-	o = append(o, 0xa4, 0x4e, 0x61, 0x6d, 0x65)
-	o = msgp.AppendString(o, z.Name)
-	// string "Waiting"
-	o = append(o, 0xa7, 0x57, 0x61, 0x69, 0x74, 0x69, 0x6e, 0x67)
-	o = msgp.AppendInt(o, z.Waiting)
-	return
-}
-
-// UnmarshalMsg implements msgp.Unmarshaler
-func (z *Estimate) UnmarshalMsg(bts []byte) (o []byte, err error) {
-	var field []byte
-	_ = field
-	var zb0001 uint32
-	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err)
-		return
-	}
-	for zb0001 > 0 {
-		zb0001--
-		field, bts, err = msgp.ReadMapKeyZC(bts)
-		if err != nil {
-			err = msgp.WrapError(err)
-			return
-		}
-		switch msgp.UnsafeString(field) {
-		case "AgeMillis":
-			z.AgeMillis, bts, err = msgp.ReadInt64Bytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "AgeMillis")
-				return
-			}
-		case "LatencyMicros":
-			z.LatencyMicros, bts, err = msgp.ReadInt64Bytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "LatencyMicros")
-				return
-			}
-		case "Name":
-			z.Name, bts, err = msgp.ReadStringBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Name")
-				return
-			}
-		case "Waiting":
-			z.Waiting, bts, err = msgp.ReadIntBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Waiting")
-				return
-			}
-		default:
-			bts, err = msgp.Skip(bts)
-			if err != nil {
-				err = msgp.WrapError(err)
-				return
-			}
-		}
-	}
-	o = bts
-	return
-}
-
-// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z *Estimate) Msgsize() (s int) {
-	s = 1 + 10 + msgp.Int64Size + 14 + msgp.Int64Size + 5 + msgp.StringPrefixSize + len(z.Name) + 8 + msgp.IntSize
-	return
-}
-
 // MarshalMsg implements msgp.Marshaler
 func (z *FeedFetch) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 8
-	// string "Estimates"
-	o = append(o, 0x88, 0xa9, 0x45, 0x73, 0x74, 0x69, 0x6d, 0x61, 0x74, 0x65, 0x73)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.Estimates)))
-	for za0001 := range z.Estimates {
-		o, err = z.Estimates[za0001].MarshalMsg(o)
-		if err != nil {
-			err = msgp.WrapError(err, "Estimates", za0001)
-			return
-		}
-	}
+	// map header, size 7
 	// string "MaxConfigBytes"
-	o = append(o, 0xae, 0x4d, 0x61, 0x78, 0x43, 0x6f, 0x6e, 0x66, 0x69, 0x67, 0x42, 0x79, 0x74, 0x65, 0x73)
+	o = append(o, 0x87, 0xae, 0x4d, 0x61, 0x78, 0x43, 0x6f, 0x6e, 0x66, 0x69, 0x67, 0x42, 0x79, 0x74, 0x65, 0x73)
 	o = msgp.AppendInt64(o, z.MaxConfigBytes)
 	// string "PartOffset"
 	o = append(o, 0xaa, 0x50, 0x61, 0x72, 0x74, 0x4f, 0x66, 0x66, 0x73, 0x65, 0x74)
@@ -551,10 +462,10 @@
 	// string "Streaks"
 	o = append(o, 0xa7, 0x53, 0x74, 0x72, 0x65, 0x61, 0x6b, 0x73)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Streaks)))
-	for za0002 := range z.Streaks {
-		o, err = z.Streaks[za0002].MarshalMsg(o)
+	for za0001 := range z.Streaks {
+		o, err = z.Streaks[za0001].MarshalMsg(o)
 		if err != nil {
-			err = msgp.WrapError(err, "Streaks", za0002)
+			err = msgp.WrapError(err, "Streaks", za0001)
 			return
 		}
 	}
@@ -582,25 +493,6 @@
 			return
 		}
 		switch msgp.UnsafeString(field) {
-		case "Estimates":
-			var zb0002 uint32
-			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Estimates")
-				return
-			}
-			if cap(z.Estimates) >= int(zb0002) {
-				z.Estimates = (z.Estimates)[:zb0002]
-			} else {
-				z.Estimates = make([]Estimate, zb0002)
-			}
-			for za0001 := range z.Estimates {
-				bts, err = z.Estimates[za0001].UnmarshalMsg(bts)
-				if err != nil {
-					err = msgp.WrapError(err, "Estimates", za0001)
-					return
-				}
-			}
 		case "MaxConfigBytes":
 			z.MaxConfigBytes, bts, err = msgp.ReadInt64Bytes(bts)
 			if err != nil {
@@ -632,21 +524,21 @@
 				return
 			}
 		case "Streaks":
-			var zb0003 uint32
-			zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			var zb0002 uint32
+			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
 			if err != nil {
 				err = msgp.WrapError(err, "Streaks")
 				return
 			}
-			if cap(z.Streaks) >= int(zb0003) {
-				z.Streaks = (z.Streaks)[:zb0003]
+			if cap(z.Streaks) >= int(zb0002) {
+				z.Streaks = (z.Streaks)[:zb0002]
 			} else {
-				z.Streaks = make([]Streak, zb0003)
+				z.Streaks = make([]Streak, zb0002)
 			}
-			for za0002 := range z.Streaks {
-				bts, err = z.Streaks[za0002].UnmarshalMsg(bts)
+			for za0001 := range z.Streaks {
+				bts, err = z.Streaks[za0001].UnmarshalMsg(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "Streaks", za0002)
+					err = msgp.WrapError(err, "Streaks", za0001)
 					return
 				}
 			}
@@ -670,13 +562,9 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *FeedFetch) Msgsize() (s int) {
-	s = 1 + 10 + msgp.ArrayHeaderSize
-	for za0001 := range z.Estimates {
-		s += z.Estimates[za0001].Msgsize()
-	}
-	s += 15 + msgp.Int64Size + 11 + msgp.Int64Size + 12 + msgp.Uint64Size + 9 + msgp.Uint64Size + 7 + msgp.StringPrefixSize + len(z.Source) + 8 + msgp.ArrayHeaderSize
-	for za0002 := range z.Streaks {
-		s += z.Streaks[za0002].Msgsize()
+	s = 1 + 15 + msgp.Int64Size + 11 + msgp.Int64Size + 12 + msgp.Uint64Size + 9 + msgp.Uint64Size + 7 + msgp.StringPrefixSize + len(z.Source) + 8 + msgp.ArrayHeaderSize
+	for za0001 := range z.Streaks {
+		s += z.Streaks[za0001].Msgsize()
 	}
 	s += 8 + msgp.Uint64Size
 	return
@@ -685,9 +573,9 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *FeedNews) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 19
+	// map header, size 18
 	// string "AgeMicros"
-	o = append(o, 0xde, 0x0, 0x13, 0xa9, 0x41, 0x67, 0x65, 0x4d, 0x69, 0x63, 0x72, 0x6f, 0x73)
+	o = append(o, 0xde, 0x0, 0x12, 0xa9, 0x41, 0x67, 0x65, 0x4d, 0x69, 0x63, 0x72, 0x6f, 0x73)
 	o = msgp.AppendInt64(o, z.AgeMicros)
 	// string "Config"
 	o = append(o, 0xa6, 0x43, 0x6f, 0x6e, 0x66, 0x69, 0x67)
@@ -698,21 +586,11 @@
 	// string "ConfigBytes"
 	o = append(o, 0xab, 0x43, 0x6f, 0x6e, 0x66, 0x69, 0x67, 0x42, 0x79, 0x74, 0x65, 0x73)
 	o = msgp.AppendInt64(o, z.ConfigBytes)
-	// string "Estimates"
-	o = append(o, 0xa9, 0x45, 0x73, 0x74, 0x69, 0x6d, 0x61, 0x74, 0x65, 0x73)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.Estimates)))
-	for za0001 := range z.Estimates {
-		o, err = z.Estimates[za0001].MarshalMsg(o)
-		if err != nil {
-			err = msgp.WrapError(err, "Estimates", za0001)
-			return
-		}
-	}
 	// string "Evacuated"
 	o = append(o, 0xa9, 0x45, 0x76, 0x61, 0x63, 0x75, 0x61, 0x74, 0x65, 0x64)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Evacuated)))
-	for za0002 := range z.Evacuated {
-		o = msgp.AppendString(o, z.Evacuated[za0002])
+	for za0001 := range z.Evacuated {
+		o = msgp.AppendString(o, z.Evacuated[za0001])
 	}
 	// string "EvacuationsKnown"
 	o = append(o, 0xb0, 0x45, 0x76, 0x61, 0x63, 0x75, 0x61, 0x74, 0x69, 0x6f, 0x6e, 0x73, 0x4b, 0x6e, 0x6f, 0x77, 0x6e)
@@ -720,16 +598,16 @@
 	// string "Gone"
 	o = append(o, 0xa4, 0x47, 0x6f, 0x6e, 0x65)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Gone)))
-	for za0003 := range z.Gone {
-		o = msgp.AppendString(o, z.Gone[za0003])
+	for za0002 := range z.Gone {
+		o = msgp.AppendString(o, z.Gone[za0002])
 	}
 	// string "Hosts"
 	o = append(o, 0xa5, 0x48, 0x6f, 0x73, 0x74, 0x73)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Hosts)))
-	for za0004 := range z.Hosts {
-		o, err = z.Hosts[za0004].MarshalMsg(o)
+	for za0003 := range z.Hosts {
+		o, err = z.Hosts[za0003].MarshalMsg(o)
 		if err != nil {
-			err = msgp.WrapError(err, "Hosts", za0004)
+			err = msgp.WrapError(err, "Hosts", za0003)
 			return
 		}
 	}
@@ -745,10 +623,10 @@
 	// string "Replicas"
 	o = append(o, 0xa8, 0x52, 0x65, 0x70, 0x6c, 0x69, 0x63, 0x61, 0x73)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Replicas)))
-	for za0005 := range z.Replicas {
-		o, err = z.Replicas[za0005].MarshalMsg(o)
+	for za0004 := range z.Replicas {
+		o, err = z.Replicas[za0004].MarshalMsg(o)
 		if err != nil {
-			err = msgp.WrapError(err, "Replicas", za0005)
+			err = msgp.WrapError(err, "Replicas", za0004)
 			return
 		}
 	}
@@ -761,10 +639,10 @@
 	// string "Streaks"
 	o = append(o, 0xa7, 0x53, 0x74, 0x72, 0x65, 0x61, 0x6b, 0x73)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Streaks)))
-	for za0006 := range z.Streaks {
-		o, err = z.Streaks[za0006].MarshalMsg(o)
+	for za0005 := range z.Streaks {
+		o, err = z.Streaks[za0005].MarshalMsg(o)
 		if err != nil {
-			err = msgp.WrapError(err, "Streaks", za0006)
+			err = msgp.WrapError(err, "Streaks", za0005)
 			return
 		}
 	}
@@ -822,41 +700,22 @@
 				err = msgp.WrapError(err, "ConfigBytes")
 				return
 			}
-		case "Estimates":
+		case "Evacuated":
 			var zb0002 uint32
 			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Estimates")
-				return
-			}
-			if cap(z.Estimates) >= int(zb0002) {
-				z.Estimates = (z.Estimates)[:zb0002]
-			} else {
-				z.Estimates = make([]Estimate, zb0002)
-			}
-			for za0001 := range z.Estimates {
-				bts, err = z.Estimates[za0001].UnmarshalMsg(bts)
-				if err != nil {
-					err = msgp.WrapError(err, "Estimates", za0001)
-					return
-				}
-			}
-		case "Evacuated":
-			var zb0003 uint32
-			zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
 			if err != nil {
 				err = msgp.WrapError(err, "Evacuated")
 				return
 			}
-			if cap(z.Evacuated) >= int(zb0003) {
-				z.Evacuated = (z.Evacuated)[:zb0003]
+			if cap(z.Evacuated) >= int(zb0002) {
+				z.Evacuated = (z.Evacuated)[:zb0002]
 			} else {
-				z.Evacuated = make([]string, zb0003)
+				z.Evacuated = make([]string, zb0002)
 			}
-			for za0002 := range z.Evacuated {
-				z.Evacuated[za0002], bts, err = msgp.ReadStringBytes(bts)
+			for za0001 := range z.Evacuated {
+				z.Evacuated[za0001], bts, err = msgp.ReadStringBytes(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "Evacuated", za0002)
+					err = msgp.WrapError(err, "Evacuated", za0001)
 					return
 				}
 			}
@@ -867,40 +726,40 @@
 				return
 			}
 		case "Gone":
-			var zb0004 uint32
-			zb0004, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			var zb0003 uint32
+			zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
 			if err != nil {
 				err = msgp.WrapError(err, "Gone")
 				return
 			}
-			if cap(z.Gone) >= int(zb0004) {
-				z.Gone = (z.Gone)[:zb0004]
+			if cap(z.Gone) >= int(zb0003) {
+				z.Gone = (z.Gone)[:zb0003]
 			} else {
-				z.Gone = make([]string, zb0004)
+				z.Gone = make([]string, zb0003)
 			}
-			for za0003 := range z.Gone {
-				z.Gone[za0003], bts, err = msgp.ReadStringBytes(bts)
+			for za0002 := range z.Gone {
+				z.Gone[za0002], bts, err = msgp.ReadStringBytes(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "Gone", za0003)
+					err = msgp.WrapError(err, "Gone", za0002)
 					return
 				}
 			}
 		case "Hosts":
-			var zb0005 uint32
-			zb0005, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			var zb0004 uint32
+			zb0004, bts, err = msgp.ReadArrayHeaderBytes(bts)
 			if err != nil {
 				err = msgp.WrapError(err, "Hosts")
 				return
 			}
-			if cap(z.Hosts) >= int(zb0005) {
-				z.Hosts = (z.Hosts)[:zb0005]
+			if cap(z.Hosts) >= int(zb0004) {
+				z.Hosts = (z.Hosts)[:zb0004]
 			} else {
-				z.Hosts = make([]ListedHost, zb0005)
+				z.Hosts = make([]ListedHost, zb0004)
 			}
-			for za0004 := range z.Hosts {
-				bts, err = z.Hosts[za0004].UnmarshalMsg(bts)
+			for za0003 := range z.Hosts {
+				bts, err = z.Hosts[za0003].UnmarshalMsg(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "Hosts", za0004)
+					err = msgp.WrapError(err, "Hosts", za0003)
 					return
 				}
 			}
@@ -923,21 +782,21 @@
 				return
 			}
 		case "Replicas":
-			var zb0006 uint32
-			zb0006, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			var zb0005 uint32
+			zb0005, bts, err = msgp.ReadArrayHeaderBytes(bts)
 			if err != nil {
 				err = msgp.WrapError(err, "Replicas")
 				return
 			}
-			if cap(z.Replicas) >= int(zb0006) {
-				z.Replicas = (z.Replicas)[:zb0006]
+			if cap(z.Replicas) >= int(zb0005) {
+				z.Replicas = (z.Replicas)[:zb0005]
 			} else {
-				z.Replicas = make([]ListedReplica, zb0006)
+				z.Replicas = make([]ListedReplica, zb0005)
 			}
-			for za0005 := range z.Replicas {
-				bts, err = z.Replicas[za0005].UnmarshalMsg(bts)
+			for za0004 := range z.Replicas {
+				bts, err = z.Replicas[za0004].UnmarshalMsg(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "Replicas", za0005)
+					err = msgp.WrapError(err, "Replicas", za0004)
 					return
 				}
 			}
@@ -954,21 +813,21 @@
 				return
 			}
 		case "Streaks":
-			var zb0007 uint32
-			zb0007, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			var zb0006 uint32
+			zb0006, bts, err = msgp.ReadArrayHeaderBytes(bts)
 			if err != nil {
 				err = msgp.WrapError(err, "Streaks")
 				return
 			}
-			if cap(z.Streaks) >= int(zb0007) {
-				z.Streaks = (z.Streaks)[:zb0007]
+			if cap(z.Streaks) >= int(zb0006) {
+				z.Streaks = (z.Streaks)[:zb0006]
 			} else {
-				z.Streaks = make([]Streak, zb0007)
+				z.Streaks = make([]Streak, zb0006)
 			}
-			for za0006 := range z.Streaks {
-				bts, err = z.Streaks[za0006].UnmarshalMsg(bts)
+			for za0005 := range z.Streaks {
+				bts, err = z.Streaks[za0005].UnmarshalMsg(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "Streaks", za0006)
+					err = msgp.WrapError(err, "Streaks", za0005)
 					return
 				}
 			}
@@ -1005,28 +864,24 @@
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *FeedNews) Msgsize() (s int) {
 	s = 3 + 10 + msgp.Int64Size + 7 + msgp.BytesPrefixSize + len(z.Config) + 16 + msgp.Int64Size + 12 + msgp.Int64Size + 10 + msgp.ArrayHeaderSize
-	for za0001 := range z.Estimates {
-		s += z.Estimates[za0001].Msgsize()
-	}
-	s += 10 + msgp.ArrayHeaderSize
-	for za0002 := range z.Evacuated {
-		s += msgp.StringPrefixSize + len(z.Evacuated[za0002])
+	for za0001 := range z.Evacuated {
+		s += msgp.StringPrefixSize + len(z.Evacuated[za0001])
 	}
 	s += 17 + msgp.BoolSize + 5 + msgp.ArrayHeaderSize
-	for za0003 := range z.Gone {
-		s += msgp.StringPrefixSize + len(z.Gone[za0003])
+	for za0002 := range z.Gone {
+		s += msgp.StringPrefixSize + len(z.Gone[za0002])
 	}
 	s += 6 + msgp.ArrayHeaderSize
-	for za0004 := range z.Hosts {
-		s += z.Hosts[za0004].Msgsize()
+	for za0003 := range z.Hosts {
+		s += z.Hosts[za0003].Msgsize()
 	}
 	s += 13 + msgp.BoolSize + 11 + msgp.Int64Size + 12 + msgp.Uint64Size + 9 + msgp.ArrayHeaderSize
-	for za0005 := range z.Replicas {
-		s += z.Replicas[za0005].Msgsize()
+	for za0004 := range z.Replicas {
+		s += z.Replicas[za0004].Msgsize()
 	}
 	s += 9 + msgp.Uint64Size + 7 + msgp.StringPrefixSize + len(z.Source) + 8 + msgp.ArrayHeaderSize
-	for za0006 := range z.Streaks {
-		s += z.Streaks[za0006].Msgsize()
+	for za0005 := range z.Streaks {
+		s += z.Streaks[za0005].Msgsize()
 	}
 	s += 10 + msgp.BoolSize + 8 + msgp.Uint64Size + 6 + msgp.BoolSize
 	return
