peer: make the test of suspected shards able to fail

Cause: TestPlanKeepsSuspectedShardsWithGatherers ejected all replicas, so that no shard had a domain to go to, and passed with its mechanism broken. Result: it fails when suspected local replicas count as remote, and passes without.

--- a/peer/peer_test.go
+++ b/peer/peer_test.go
@@ -321,10 +321,23 @@
 	}
 	delegator := newDelegator(hosts)
 	delegator.Cores = 0.1
-	delegator.Ejected = func(string) bool { return true }
+	local := make(map[string]bool)
+	for _, shard := range shards(90) {
+		for _, replica := range replicas(shard) {
+			local[replica.ID] = replica.FailureDomain == "d0"
+		}
+	}
+	delegator.Ejected = func(id string) bool { return local[id] }
+	own, remote := 0, 0
 	for _, bundle := range delegator.Plan(&dispatch.Request{Route: &route.Route{Shards: shards(90), LatencyTarget: 100 * time.Millisecond}}, nil) {
-		qt.Check(t, bundle.Remote, qt.IsFalse)
+		if bundle.Remote {
+			remote += len(bundle.Shards)
+		} else {
+			own += len(bundle.Shards)
+		}
 	}
+	// Half of the shards have no replica in this domain.
+	qt.Check(t, []int{own, remote}, qt.DeepEquals, []int{45, 45})
 }
 
 // A host that stops, or was paused, refuses bundles as not run, so that their
