review: show that a late write drops a host from the list for good

Cause: a host renews its lease and does not look whether its entry still exists under it; an earlier write that the store executes late replaces the entry, which ends with the first lease. Nothing was fixed.

--- a/review/_drill/main.go
+++ b/review/_drill/main.go
@@ -11,7 +11,8 @@
 
 // cases maps the names of cases to functions that return whether the rule was held.
 var cases = map[string]func(record *record, trouble bool) bool{
-	"old-lists": playOldLists,
+	"old-lists":  playOldLists,
+	"lost-entry": playLostEntry,
 }
 
 // cleanup is called before the program ends.
--- a/review/_drill/oldlists.go
+++ b/review/_drill/oldlists.go
@@ -41,12 +41,7 @@
 			watched[host] = time.Now()
 		}
 	}
-	store.put("op/config", map[string]any{
-		"version":  7,
-		"routes":   []any{map[string]any{"name": "r-1", "host": "pupu76.example", "prefix": "/timi402/", "type": "unsafe", "timeout_ms": 6000, "target_latency_ms": 800, "priority": 2, "backend": "kafi81c", "max_attempts": 2}},
-		"backends": []any{map[string]any{"name": "kafi81c", "health_check_path": "/healthz", "max_connections": 110, "protocol": "h1", "tls": false}},
-		"limits":   map[string]any{"max_header_bytes": 16384, "max_body_bytes": 262144, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
-	})
+	putConfig(store)
 	started := 0
 	add := func() *server {
 		started++
@@ -95,10 +90,6 @@
 	}, 24, 40*time.Millisecond, func(client *client) {
 		client.do(http.MethodPost, "/timi402/2f", []byte("an order"), 6*time.Second)
 	}, stop)
-	type departure struct {
-		server *server
-		at     time.Time
-	}
 	var departures []departure
 	for round := range rounds {
 		index := reader()
@@ -134,18 +125,31 @@
 	}
 	close(stop)
 	sending.Wait()
-	return countLate(record, func(visit func(server *server, at time.Time)) {
-		for _, departure := range departures {
-			visit(departure.server, departure.at)
-		}
-	}, drain)
+	return countLate(record, departures, drain)
+}
+
+// departure is a server that has left, and when the store accepted that.
+type departure struct {
+	server *server
+	at     time.Time
+}
+
+// putConfig writes a configuration with one route whose requests run once at most.
+func putConfig(store *store) {
+	store.put("op/config", map[string]any{
+		"version":  7,
+		"routes":   []any{map[string]any{"name": "r-1", "host": "pupu76.example", "prefix": "/timi402/", "type": "unsafe", "timeout_ms": 6000, "target_latency_ms": 800, "priority": 2, "backend": "kafi81c", "max_attempts": 2}},
+		"backends": []any{map[string]any{"name": "kafi81c", "health_check_path": "/healthz", "max_connections": 110, "protocol": "h1", "tls": false}},
+		"limits":   map[string]any{"max_header_bytes": 16384, "max_body_bytes": 262144, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
+	})
 }
 
 // countLate reports the requests that reached a server later than drain after it had
 // left, and whether there were none.
-func countLate(record *record, departures func(visit func(server *server, at time.Time)), drain time.Duration) bool {
+func countLate(record *record, departures []departure, drain time.Duration) bool {
 	late, lost := 0, 0
-	departures(func(server *server, at time.Time) {
+	for _, departure := range departures {
+		server, at := departure.server, departure.at
 		for _, arrival := range record.arrivals {
 			if arrival.server != server || !arrival.at.After(at.Add(drain)) {
 				continue
@@ -157,7 +161,7 @@
 			request := record.requests[arrival.id]
 			record.say("LATE: request %s, sent to %s, reached %s %d ms after the ack (bound %d ms); cut off in its run: %v; its client got %s", arrival.id, request.host, server.id, arrival.at.Sub(at).Milliseconds(), drain.Milliseconds(), arrival.cut, request.status)
 		}
-	})
+	}
 	served, failed := record.countAnswered()
 	record.say("%d requests served, %d not; %d reached a server later than %d ms after it had left, %d of them were lost with it", served, failed, late, drain.Milliseconds(), lost)
 	return late == 0
--- a/review/_drill/store.go
+++ b/review/_drill/store.go
@@ -1,7 +1,10 @@
 package main
 
 import (
+	"bytes"
+	"context"
 	"encoding/json"
+	"io"
 	"net"
 	"net/http"
 	"sort"
@@ -27,6 +30,9 @@
 	lag time.Duration
 	// called is called with the name of the host that sends a call.
 	called func(host string, request *http.Request)
+	// delay returns how much later a call is executed, whose answer is then lost; 0 for
+	// an ordinary call.
+	delay func(host string, request *http.Request) time.Duration
 
 	mu       sync.Mutex
 	revision int64
@@ -66,6 +72,14 @@
 		if store.called != nil {
 			store.called(host, request)
 		}
+		if store.delay != nil {
+			if delay := store.delay(host, request); delay > 0 {
+				store.executeLater(request, delay)
+				// The connection returns nothing further.
+				<-request.Context().Done()
+				panic(http.ErrAbortHandler)
+			}
+		}
 		store.serve(writer, request)
 	}))
 	return listener.Addr().String()
@@ -140,6 +154,29 @@
 	return map[string]any{"key": change.key, "value": change.value, "revision": change.revision, "create_rev": change.revision, "lease": change.lease}
 }
 
+// executeLater reads a call and executes it after a delay.
+func (store *store) executeLater(request *http.Request, delay time.Duration) {
+	body, err := io.ReadAll(request.Body)
+	check(err)
+	copied := request.Clone(context.Background())
+	copied.Body = io.NopCloser(bytes.NewReader(body))
+	time.AfterFunc(delay, func() { store.handle(copied) })
+}
+
+// keys returns the keys with a prefix.
+func (store *store) keys(prefix string) (keys []string) {
+	store.mu.Lock()
+	defer store.mu.Unlock()
+	state, _ := store.state(time.Now())
+	for key := range state {
+		if strings.HasPrefix(key, prefix) {
+			keys = append(keys, key)
+		}
+	}
+	sort.Strings(keys)
+	return keys
+}
+
 func (store *store) serve(writer http.ResponseWriter, request *http.Request) {
 	status, body := store.handle(request)
 	content, err := json.Marshal(body)
