review: show that two hosts grant the same allowance

Cause: a host that is alone on its old list of hosts wins each vote by itself, and one that is added after its entry has expired does not know it. Nothing was fixed.

--- a/review/_drill/cluster.go
+++ b/review/_drill/cluster.go
@@ -147,6 +147,8 @@
 	record *record
 	host   *host
 	http   *http.Client
+	// credential is the client's key, empty if it has none.
+	credential string
 }
 
 func newClient(record *record, host *host) *client {
@@ -161,6 +163,9 @@
 	request.Host = "pupu76.example"
 	request.Header.Set("X-Fescuehall-Request-Id", id)
 	request.Header.Set("X-Fescuehall-Deadline-Ms", fmt.Sprint(limit.Milliseconds()))
+	if client.credential != "" {
+		request.Header.Set("X-Fescuehall-Credential", client.credential)
+	}
 	sent := client.record.send(id, client.host.name)
 	response, err := client.http.Do(request)
 	if err != nil {
--- a/review/_drill/main.go
+++ b/review/_drill/main.go
@@ -13,6 +13,7 @@
 var cases = map[string]func(record *record, trouble bool) bool{
 	"old-lists":  playOldLists,
 	"lost-entry": playLostEntry,
+	"keepers":    playKeepers,
 }
 
 // cleanup is called before the program ends.
--- a/review/_drill/oldlists.go
+++ b/review/_drill/oldlists.go
@@ -134,14 +134,19 @@
 	at     time.Time
 }
 
-// putConfig writes a configuration with one route whose requests run once at most.
-func putConfig(store *store) {
-	store.put("op/config", map[string]any{
+// putConfig writes a configuration with one route whose requests run once at most, and
+// with tenants if there are any.
+func putConfig(store *store, tenants ...any) {
+	config := map[string]any{
 		"version":  7,
 		"routes":   []any{map[string]any{"name": "r-1", "host": "pupu76.example", "prefix": "/timi402/", "type": "unsafe", "timeout_ms": 6000, "target_latency_ms": 800, "priority": 2, "backend": "kafi81c", "max_attempts": 2}},
 		"backends": []any{map[string]any{"name": "kafi81c", "health_check_path": "/healthz", "max_connections": 110, "protocol": "h1", "tls": false}},
 		"limits":   map[string]any{"max_header_bytes": 16384, "max_body_bytes": 262144, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
-	})
+	}
+	if len(tenants) > 0 {
+		config["tenants"] = tenants
+	}
+	store.put("op/config", config)
 }
 
 // countLate reports the requests that reached a server later than drain after it had
--- a/review/_drill/record.go
+++ b/review/_drill/record.go
@@ -117,3 +117,36 @@
 	}
 	return served, failed
 }
+
+// mostInWindow returns the greatest number of requests that were both sent and reached a
+// server within a time, and when that began.
+func (record *record) mostInWindow(window time.Duration) (most int, at time.Time) {
+	record.mu.Lock()
+	defer record.mu.Unlock()
+	for _, first := range record.requests {
+		count := 0
+		for _, arrival := range record.arrivals {
+			request := record.requests[arrival.id]
+			if request != nil && !request.sentAt.Before(first.sentAt) && arrival.at.Sub(first.sentAt) < window {
+				count++
+			}
+		}
+		if count > most {
+			most, at = count, first.sentAt
+		}
+	}
+	return most, at
+}
+
+// countRun returns the number of requests to a host that reached a server within a
+// second.
+func (record *record) countRun(host string, from time.Time) (count int) {
+	record.mu.Lock()
+	defer record.mu.Unlock()
+	for _, arrival := range record.arrivals {
+		if request := record.requests[arrival.id]; request != nil && request.host == host && !arrival.at.Before(from) && arrival.at.Before(from.Add(time.Second)) {
+			count++
+		}
+	}
+	return count
+}
--- a/review/_drill/store.go
+++ b/review/_drill/store.go
@@ -33,6 +33,8 @@
 	// delay returns how much later a call is executed, whose answer is then lost; 0 for
 	// an ordinary call.
 	delay func(host string, request *http.Request) time.Duration
+	// cut reports whether a host is cut from the store: its calls get no answer.
+	cut func(host string) bool
 
 	mu       sync.Mutex
 	revision int64
@@ -72,6 +74,10 @@
 		if store.called != nil {
 			store.called(host, request)
 		}
+		if store.cut != nil && store.cut(host) {
+			<-request.Context().Done()
+			panic(http.ErrAbortHandler)
+		}
 		if store.delay != nil {
 			if delay := store.delay(host, request); delay > 0 {
 				store.executeLater(request, delay)
