review: show that a lost half of the machines ends a tenant's service

Cause: hosts that left the list count for a minute, and a silent one has no vote, so that no keeper has a majority when half of each zone is lost. Nothing was fixed.

--- a/review/_drill/main.go
+++ b/review/_drill/main.go
@@ -14,6 +14,7 @@
 	"old-lists":  playOldLists,
 	"lost-entry": playLostEntry,
 	"keepers":    playKeepers,
+	"survivors":  playSurvivors,
 }
 
 // cleanup is called before the program ends.
--- a/review/_drill/record.go
+++ b/review/_drill/record.go
@@ -150,3 +150,20 @@
 	}
 	return count
 }
+
+// countServed returns the number of requests that were sent within a time, and how many
+// of these were answered with a success.
+func (record *record) countServed(from, to time.Time) (sent, served int) {
+	record.mu.Lock()
+	defer record.mu.Unlock()
+	for _, request := range record.requests {
+		if request.sentAt.Before(from) || !request.sentAt.Before(to) {
+			continue
+		}
+		sent++
+		if request.status == "200" {
+			served++
+		}
+	}
+	return sent, served
+}
