review: show that a lost answer ends a tenant's service for good

Cause: as in case 7, an earlier write that is executed late takes the host's entry along when its lease ends; a host that is not listed keeps no allowance. Case 10 is a script. Nothing was fixed.

--- a/review/_drill/main.go
+++ b/review/_drill/main.go
@@ -15,6 +15,7 @@
 	"lost-entry": playLostEntry,
 	"keepers":    playKeepers,
 	"survivors":  playSurvivors,
+	"unlisted":   playUnlisted,
 }
 
 // cleanup is called before the program ends.
