intake: record and log the limits that replicas name

Cause: Server-Limit was not decoded, so that neither logs nor metrics showed what a replica had named and what was sent to it since. Nothing told apart whether hosts ignore a limit, or know it and exceed it.

Change: the header is decoded, the limit recorded by replica, and logged with the attempts sent since: first, extra, for peers. Decisions don't change.

--- a/dispatch/attempt.go
+++ b/dispatch/attempt.go
@@ -71,6 +71,8 @@
 	// its token, the zero value if the replica is not cold.
 	waits  bool
 	ticket allowance.Ticket
+	// extra is set for a hedge or a retry.
+	extra bool
 }
 
 // startAttempt sends the next attempt of a part. It returns false when no
@@ -89,7 +91,7 @@
 	if chosen < 0 {
 		return false
 	}
-	sentAttempt := &sentAttempt{index: index, replica: choice.replicas[chosen], started: time.Now(), waits: choice.waits, ticket: choice.take(run.dispatcher.Cold, chosen)}
+	sentAttempt := &sentAttempt{index: index, replica: choice.replicas[chosen], started: time.Now(), waits: choice.waits, ticket: choice.take(run.dispatcher.Cold, chosen), extra: len(part.attempts) > 0}
 	sentAttempt.ctx, sentAttempt.cancel = context.WithCancel(run.ctx)
 	part.attempts = append(part.attempts, sentAttempt)
 	part.attempted[sentAttempt.replica.ID] = true
@@ -154,13 +156,17 @@
 	run.completed <- sentAttempt
 }
 
-// recordWishes records that a replica said that it leaves, or that it wants no
-// requests for a while.
+// recordWishes records that a replica said that it leaves, that it wants no requests for
+// a while, or that it limits them.
 func (run *run) recordWishes(sentAttempt *sentAttempt) {
 	reply, picker := sentAttempt.reply, run.dispatcher.Picker
 	if reply.Leaving && run.dispatcher.ReportLeaving != nil {
 		run.dispatcher.ReportLeaving(sentAttempt.replica)
 	}
+	// A refusal does not show that the replica has lifted its limit.
+	if run.dispatcher.ReportNamedRate != nil && (reply.NamedRate > 0 || reply.Receipt != "") {
+		run.dispatcher.ReportNamedRate(sentAttempt.replica, reply.NamedRate, sentAttempt.started)
+	}
 	if reply.Pause > 0 {
 		picker.Pause(sentAttempt.replica.ID, picker.Now().Add(reply.Pause))
 	}
--- a/dispatch/cold.go
+++ b/dispatch/cold.go
@@ -100,7 +100,7 @@
 			return &Reply{Failure: verdict.New(verdict.NotRun, verdict.Cancelled, "replica %s is cold and may get no more requests", sentAttempt.replica.ID)}
 		}
 	}
-	reply := run.dispatcher.Send(sentAttempt.ctx, &Attempt{Request: run.request, Replica: sentAttempt.replica, Template: run.template})
+	reply := run.dispatcher.Send(sentAttempt.ctx, &Attempt{Request: run.request, Replica: sentAttempt.replica, Template: run.template, Extra: sentAttempt.extra})
 	if sentAttempt.ticket.Decision == allowance.Allowed && reply.Failure != nil && reply.Failure.Code == verdict.Unreachable && reply.Failure.Verdict == verdict.NotRun {
 		limits.Return(sentAttempt.replica, sentAttempt.ticket)
 	}
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -120,6 +120,8 @@
 	// Template holds the content of the request for all its attempts; nil if this
 	// is the only one.
 	Template *exchange.Template
+	// Extra is set for a hedge or a retry.
+	Extra bool
 }
 
 // Reply is the outcome of an attempt.
@@ -135,6 +137,9 @@
 	Leaving bool
 	// Pause is for how long the replica wants no requests.
 	Pause time.Duration
+	// NamedRate is the number of requests a second that the replica says it takes from
+	// all hosts together, 0 if it names none.
+	NamedRate float64
 }
 
 // Answer is the answer to a request.
@@ -167,6 +172,9 @@
 	// ReportLeaving is called with a replica that said in a reply that it leaves; it
 	// may be nil.
 	ReportLeaving func(replica roster.Replica)
+	// ReportNamedRate is called with the rate that a replica named in a reply, 0 if it
+	// named none, and when the attempt was started; it may be nil.
+	ReportNamedRate func(replica roster.Replica, rate float64, started time.Time)
 	// Regions maps failure domains to their regions.
 	Regions map[string]string
 	// Plan returns the bundles of a request's shards that are requested from peers. The other
