allowance: share limits that only the asking hosts know

A replica can name a limit that is not part of the configuration, so that a keeper can't look it up. Hosts of earlier releases don't know these limits and refuse.

Such a limit may have a reserve: a small part of it that hosts may use to which no keeper tells anything. Otherwise they would never send the request whose answer shows that the limit has ended. Turns of the reserve are lost when they are not used, and begin at random times, so that many hosts don't use theirs at once.

A request may be bound to several limits and takes a token of each or none.

--- a/allowance/allowance_test.go
+++ b/allowance/allowance_test.go
@@ -24,6 +24,11 @@
 	return allowance.Limit{Rate: rate, Burst: burst, Window: 5 * time.Second, Overage: 0.1, Slack: 20}
 }
 
+// newNamedLimit returns a limit as replicas name them, with a reserve.
+func newNamedLimit(rate float64) allowance.Limit {
+	return allowance.Limit{Rate: rate, Burst: 0.4 * rate, Window: 4 * time.Second, Overage: 0.15, Slack: 5, Reserve: 0.15 * rate}
+}
+
 // fault is something that happens to the world for a time.
 type fault struct {
 	at, length time.Duration
@@ -204,8 +209,11 @@
 	rapid.Check(t, func(r *rapid.T) {
 		count := rapid.SampledFrom([]int{6, 60, 130}).Draw(r, "hosts")
 		limit := newLimit(rapid.Float64Range(0.1, 40).Draw(r, "rate"), rapid.Float64Range(0, 40).Draw(r, "burst"))
-		if rapid.Bool().Draw(r, "cold replica") {
+		switch rapid.SampledFrom([]string{"workspace", "cold replica", "named by a replica"}).Draw(r, "limit") {
+		case "cold replica":
 			limit = allowance.Limit{Rate: limit.Rate, Window: time.Second, Overage: 0.5, Slack: 5}
+		case "named by a replica":
+			limit = newNamedLimit(limit.Rate)
 		}
 		callers := rapid.SliceOfN(rapid.IntRange(0, count-1), 1, 12).Draw(r, "callers")
 		demand := limit.Rate*rapid.Float64Range(0.3, 7.5).Draw(r, "demand") + 1
@@ -260,9 +268,12 @@
 	for _, test := range []struct {
 		hosts, callers int
 		rate, demand   float64
-		// cold is set for the limit of a cold replica.
-		cold bool
+		// cold is set for the limit of a cold replica, named for one that a replica names.
+		cold, named bool
 	}{
+		{hosts: 6, callers: 6, rate: 31, demand: 90, named: true},
+		{hosts: 60, callers: 46, rate: 8, demand: 30, named: true},
+		{hosts: 130, callers: 46, rate: 2, demand: 30, named: true},
 		{hosts: 60, callers: 46, rate: 8, demand: 30, cold: true},
 		{hosts: 6, callers: 1, rate: 18, demand: 40},
 		{hosts: 60, callers: 1, rate: 18, demand: 130},
@@ -276,8 +287,11 @@
 		t.Run(fmt.Sprint(test), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				limit := newLimit(test.rate, test.rate)
-				if test.cold {
+				switch {
+				case test.cold:
 					limit = allowance.Limit{Rate: test.rate, Window: time.Second, Overage: 0.5, Slack: 5}
+				case test.named:
+					limit = newNamedLimit(test.rate)
 				}
 				world := newWorld(test.hosts, domains, limit, 7)
 				var callers []int
@@ -307,7 +321,7 @@
 	self := shard.Host{Name: "h0", FailureDomain: "d0", KeepsAllowances: true}
 	hosts := &allowance.Hosts{Name: self.Name, Domain: self.FailureDomain, Now: now, ReadAt: now}
 	hosts.Update([]shard.Host{self})
-	keeper := &allowance.Keeper{Hosts: hosts, Domains: domainNames(1), Limit: func(string) (allowance.Limit, bool) { return newLimit(1e7, 1e7), true }}
+	keeper := &allowance.Keeper{Hosts: hosts, Domains: domainNames(1), Limit: func(*message.AllowanceAsk) (allowance.Limit, bool) { return newLimit(1e7, 1e7), true }}
 	return &allowance.Tokens{
 		Domain: self.FailureDomain, Domains: domainNames(1), Now: now, Keeper: hosts.Keeper,
 		Random:  func() float64 { return 0.5 },
--- a/allowance/keeper.go
+++ b/allowance/keeper.go
@@ -18,9 +18,9 @@
 	Hosts *Hosts
 	// Domains are the failure domains of the deployment.
 	Domains []string
-	// Limit returns a limit by its name, by the newest known configuration, and
-	// whether there is one.
-	Limit func(name string) (Limit, bool)
+	// Limit returns the limit that an ask is about and whether there is one: by the
+	// newest known configuration, or by the ask if only the hosts that ask know it.
+	Limit func(ask *message.AllowanceAsk) (Limit, bool)
 	// Changed is called when this host begins to grant tokens of a limit ("kept")
 	// and when it no longer does ("left"); it may be nil.
 	Changed func(limit, change string)
@@ -61,7 +61,7 @@
 	if strings.HasPrefix(ask.Limit, votePrefix) {
 		return &message.AllowanceGrant{Refused: !keeper.Hosts.agrees(ask)}
 	}
-	limit, known := keeper.Limit(ask.Limit)
+	limit, known := keeper.Limit(ask)
 	if !known || !keeper.Hosts.Certain(ctx) {
 		return &message.AllowanceGrant{Refused: true}
 	}
--- a/allowance/limit.go
+++ b/allowance/limit.go
@@ -14,8 +14,9 @@
 )
 
 // Limit is a limit on the requests of all hosts together: in each span of Window, at
-// most (Rate x Window + Burst) x (1 + Overage) + Slack. Requests up to Rate x Window
-// + Burst are to be allowed. The rest covers what the division among hosts costs.
+// most (Rate x Window + Burst) x (1 + Overage) + Slack, and what Reserve adds. Requests up
+// to Rate x Window + Burst are to be allowed. The rest covers what the division among
+// hosts costs.
 type Limit struct {
 	// Rate is in requests a second.
 	Rate    float64
@@ -23,11 +24,15 @@
 	Window  time.Duration
 	Overage float64
 	Slack   float64
+	// Reserve is the number of requests a second that the hosts which no keeper tells
+	// anything may send together. Each has a fixed part of it.
+	Reserve float64
 }
 
 // Bound returns the maximum number of requests in one window.
 func (limit Limit) Bound() float64 {
-	return (limit.Rate*limit.Window.Seconds()+limit.Burst)*(1+limit.Overage) + limit.Slack
+	window := limit.Window.Seconds()
+	return (limit.Rate*window+limit.Burst)*(1+limit.Overage) + limit.Slack + limit.Reserve*(window+reserveSlot.Seconds())
 }
 
 const (
--- a/allowance/model_test.go
+++ b/allowance/model_test.go
@@ -141,7 +141,7 @@
 			return !world.nodes[host.Name].up && world.linked(node, world.nodes[host.Name])
 		},
 	}
-	limit := func(string) (allowance.Limit, bool) {
+	limit := func(*message.AllowanceAsk) (allowance.Limit, bool) {
 		world.mu.Lock()
 		defer world.mu.Unlock()
 		return world.limits[node.version], true
@@ -151,7 +151,7 @@
 		world.mu.Lock()
 		defer world.mu.Unlock()
 		return world.random.Float64()
-	}, Version: func() uint64 { return 0 }}
+	}, Version: func() uint64 { return 0 }, Share: func() float64 { return 1 / float64(len(world.order)) }}
 }
 
 // linked reports whether the network connects two nodes. The caller holds the lock.
--- a/allowance/tokens.go
+++ b/allowance/tokens.go
@@ -57,8 +57,17 @@
 	// RetryAfter is the delay after which a request that is not allowed may be sent
 	// again.
 	RetryAfter time.Duration
+	// Asking is set by TakeNow if the decision awaits an ask in flight.
+	Asking bool
 	// expires is when the token is void.
 	expires time.Time
+	// held is the first of the tokens that TakeAll took.
+	held *heldToken
+}
+
+// Valid reports whether the ticket allows a request at a time.
+func (ticket Ticket) Valid(now time.Time) bool {
+	return ticket.Decision == Allowed && now.Before(ticket.expires)
 }
 
 // Tokens holds the tokens that this host has for the requests that it receives. Set
@@ -75,6 +84,8 @@
 	Version func() uint64
 	// Keeper returns the host of a failure domain that keeps a limit.
 	Keeper func(limit, domain string) (shard.Host, bool)
+	// Share returns this host's share of the reserves; nil if it has none.
+	Share func() float64
 	// Ask asks a keeper, which may be this host.
 	Ask func(ctx context.Context, keeper shard.Host, ask *message.AllowanceAsk) (*message.AllowanceGrant, error)
 
@@ -106,6 +117,9 @@
 	refusedUntil time.Time
 	reason       Decision
 	line         int
+	// turnAt is this host's next turn of the reserve, the zero time before it was
+	// needed.
+	turnAt time.Time
 	// demand is the average number of requests a second, at demandAt.
 	demand   float64
 	demandAt time.Time
@@ -143,7 +157,7 @@
 	ticket, decided := tokens.decide(account)
 	if !decided {
 		tokens.startAsk(account)
-		ticket = Ticket{Decision: Unknown, RetryAfter: unknownRetryAfter}
+		ticket = Ticket{Decision: Unknown, RetryAfter: unknownRetryAfter, Asking: true}
 	}
 	account.counts.add(ticket.Decision)
 	return ticket
@@ -240,6 +254,11 @@
 		return Ticket{Decision: Allowed, expires: expires}, true
 	}
 	if decision, decided := account.judge(now); decided {
+		if decision == Unknown {
+			if ticket, ok := tokens.takeReserve(account, now); ok {
+				return ticket, true
+			}
+		}
 		account.line++
 		return Ticket{Decision: decision, RetryAfter: tokens.retryAfter(account, now)}, true
 	}
@@ -294,6 +313,9 @@
 			return ticket
 		}
 		if ended {
+			if ticket, ok := tokens.takeReserve(account, tokens.Now()); ok {
+				return ticket
+			}
 			return Ticket{Decision: Unknown, RetryAfter: unknownRetryAfter}
 		}
 	}
@@ -342,9 +364,9 @@
 			continue
 		}
 		wanted := max(1, float64(account.waiting), account.batch())
-		domain, sentAt := account.domains[index], tokens.Now()
+		domain, rate, sentAt := account.domains[index], account.limit.Rate, tokens.Now()
 		account.mu.Unlock()
-		grant := tokens.askKeeper(ctx, account.name, domain, wanted)
+		grant := tokens.askKeeper(ctx, account.name, domain, wanted, rate)
 		account.mu.Lock()
 		if index < len(account.domains) && account.domains[index] == domain {
 			granted = account.receive(index, grant, sentAt, tokens.Now())
@@ -381,7 +403,7 @@
 }
 
 // askKeeper returns the reply of a failure domain's keeper, nil if there is none.
-func (tokens *Tokens) askKeeper(ctx context.Context, name, domain string, wanted float64) *message.AllowanceGrant {
+func (tokens *Tokens) askKeeper(ctx context.Context, name, domain string, wanted, rate float64) *message.AllowanceGrant {
 	keeper, ok := tokens.Keeper(name, domain)
 	if !ok || ctx.Err() != nil {
 		return nil
@@ -394,7 +416,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
-	grant, err := tokens.Ask(ctx, keeper, &message.AllowanceAsk{Limit: name, Tokens: wanted, FailureDomain: tokens.Domain, Version: tokens.Version()})
+	grant, err := tokens.Ask(ctx, keeper, &message.AllowanceAsk{Limit: name, Tokens: wanted, FailureDomain: tokens.Domain, Version: tokens.Version(), Rate: rate})
 	if err != nil {
 		tokens.mu.Lock()
 		defer tokens.mu.Unlock()
--- a/allowance/tokens_test.go
+++ b/allowance/tokens_test.go
@@ -168,7 +168,7 @@
 		},
 	}
 	hosts.Update(pair)
-	keeper = &allowance.Keeper{Hosts: hosts, Domains: domainNames(1), Limit: func(string) (allowance.Limit, bool) { return *limit, limit.Rate > 0 }}
+	keeper = &allowance.Keeper{Hosts: hosts, Domains: domainNames(1), Limit: func(*message.AllowanceAsk) (allowance.Limit, bool) { return *limit, limit.Rate > 0 }}
 	qt.Assert(t, hosts.Name != first, qt.IsTrue)
 	return keeper, hosts, pair[index : index+1]
 }
--- a/message/message.go
+++ b/message/message.go
@@ -10,6 +10,11 @@
 	// Name of the limit, with its kind.
 	Limit string `json:"Limit"`
 
+	// Requests a second that the asking host knows the limit to allow. It counts for
+	// limits that are not part of the configuration. Hosts of earlier releases don't
+	// send it.
+	Rate float64 `json:"Rate"`
+
 	// Number of tokens that the asking host wants.
 	Tokens float64 `json:"Tokens"`
 
--- a/message/message_gen.go
+++ b/message/message_gen.go
@@ -9,13 +9,16 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *AllowanceAsk) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 4
+	// map header, size 5
 	// string "FailureDomain"
-	o = append(o, 0x84, 0xad, 0x46, 0x61, 0x69, 0x6c, 0x75, 0x72, 0x65, 0x44, 0x6f, 0x6d, 0x61, 0x69, 0x6e)
+	o = append(o, 0x85, 0xad, 0x46, 0x61, 0x69, 0x6c, 0x75, 0x72, 0x65, 0x44, 0x6f, 0x6d, 0x61, 0x69, 0x6e)
 	o = msgp.AppendString(o, z.FailureDomain)
 	// string "Limit"
 	o = append(o, 0xa5, 0x4c, 0x69, 0x6d, 0x69, 0x74)
 	o = msgp.AppendString(o, z.Limit)
+	// string "Rate"
+	o = append(o, 0xa4, 0x52, 0x61, 0x74, 0x65)
+	o = msgp.AppendFloat64(o, z.Rate)
 	// string "Tokens"
 	o = append(o, 0xa6, 0x54, 0x6f, 0x6b, 0x65, 0x6e, 0x73)
 	o = msgp.AppendFloat64(o, z.Tokens)
@@ -55,6 +58,12 @@
 				err = msgp.WrapError(err, "Limit")
 				return
 			}
+		case "Rate":
+			z.Rate, bts, err = msgp.ReadFloat64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Rate")
+				return
+			}
 		case "Tokens":
 			z.Tokens, bts, err = msgp.ReadFloat64Bytes(bts)
 			if err != nil {
@@ -81,7 +90,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *AllowanceAsk) Msgsize() (s int) {
-	s = 1 + 14 + msgp.StringPrefixSize + len(z.FailureDomain) + 6 + msgp.StringPrefixSize + len(z.Limit) + 7 + msgp.Float64Size + 8 + msgp.Uint64Size
+	s = 1 + 14 + msgp.StringPrefixSize + len(z.FailureDomain) + 6 + msgp.StringPrefixSize + len(z.Limit) + 5 + msgp.Float64Size + 7 + msgp.Float64Size + 8 + msgp.Uint64Size
 	return
 }
 
