dispatch, platform: keep to the limits that replicas name

Cause: hosts knew the limit and didn't act on it. Requests were limited only for cold replicas of services whose configuration says so.

Change: ColdLimits become ReplicaLimits, of cold replicas and of those that name a limit, with tokens that hosts share. Without a token another replica gets the attempt. If keepers haven't answered yet, the attempt waits for them, hedges excepted. If all replicas are limited, it waits while a token is expected before the answer is due; else it is refused at once with the time until one is. A token, or a limit that became known meanwhile, is checked again when there is a connection: an attempt that waited for one used to be sent on a token that had expired, also to cold replicas.

--- a/dispatch/attempt.go
+++ b/dispatch/attempt.go
@@ -67,10 +67,12 @@
 	ctx     context.Context
 	cancel  context.CancelFunc
 	reply   *Reply
-	// waits is set if the replica is cold and the attempt waits for a token. ticket is
-	// its token, the zero value if the replica is not cold.
+	// waits is set if the attempt waits for a token since no replica may get it without.
+	// ticket is its token, the zero value if the replica is not limited.
 	waits  bool
 	ticket allowance.Ticket
+	// admittedAt is when it had its token, the zero time if it got none.
+	admittedAt time.Time
 	// extra is set for a hedge or a retry.
 	extra bool
 }
@@ -79,7 +81,11 @@
 // replica is left to try.
 func (run *run) startAttempt(index int, hedge bool) bool {
 	part := run.parts[index]
-	choice := run.choice(run.candidates(part), takeNow)
+	take := takeNow
+	if hedge {
+		take = takeNowForHedge
+	}
+	choice := run.choice(run.candidates(part), take)
 	if choice.waits && hedge {
 		return false
 	}
@@ -91,7 +97,7 @@
 	if chosen < 0 {
 		return false
 	}
-	sentAttempt := &sentAttempt{index: index, replica: choice.replicas[chosen], started: time.Now(), waits: choice.waits, ticket: choice.take(run.dispatcher.Cold, chosen), extra: len(part.attempts) > 0}
+	sentAttempt := &sentAttempt{index: index, replica: choice.replicas[chosen], started: time.Now(), waits: choice.waits, ticket: choice.take(run.dispatcher.Limits, chosen), extra: len(part.attempts) > 0}
 	sentAttempt.ctx, sentAttempt.cancel = context.WithCancel(run.ctx)
 	part.attempts = append(part.attempts, sentAttempt)
 	part.attempted[sentAttempt.replica.ID] = true
@@ -137,18 +143,22 @@
 func (run *run) execute(sentAttempt *sentAttempt) {
 	sentAttempt.reply = run.send(sentAttempt)
 	sentAttempt.cancel()
-	latency := time.Since(sentAttempt.started)
+	// Waiting for a token is not the replica's time.
+	latency := time.Duration(0)
+	if !sentAttempt.admittedAt.IsZero() {
+		latency = time.Since(sentAttempt.admittedAt)
+	}
 	failure := sentAttempt.reply.Failure
 	result := replica.Result{Latency: latency, Load: sentAttempt.reply.Load, Failed: failure != nil}
 	if failure != nil {
 		result.Unreachable = failure.Code == verdict.Unreachable
 		// A replica that accepts no requests has not failed.
-		result.Cancelled = failure.Code == verdict.Cancelled || failure.Code == verdict.Draining
+		result.Cancelled = failure.Code == verdict.Cancelled || wasNotSent(failure) && !result.Unreachable
 	}
 	run.recordWishes(sentAttempt)
 	run.dispatcher.Picker.Done(sentAttempt.replica.ID, result)
 	run.recordLateness(sentAttempt.replica.ID, result, failure)
-	if failure == nil || result.Cancelled {
+	if !sentAttempt.admittedAt.IsZero() && (failure == nil || result.Cancelled) {
 		// A cancelled attempt would have taken at least this long. Without it the
 		// hedge delay would be estimated from fast attempts only.
 		run.dispatcher.hedgeDelay(run.request.Route).Add(latency)
@@ -277,9 +287,9 @@
 }
 
 // wasNotSent reports whether an attempt reached no replica, or was not sent since the
-// replica no longer accepts requests.
+// replica no longer accepts requests, or no more of them.
 func wasNotSent(failure *verdict.Failure) bool {
-	return failure.Code == verdict.Unreachable || failure.Code == verdict.Draining
+	return failure.Code == verdict.Unreachable || failure.Code == verdict.Draining || failure.Code == verdict.LimitReached
 }
 
 // takeExtra takes a token for an extra attempt at a service. It returns why there is
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -122,6 +122,9 @@
 	Template *exchange.Template
 	// Extra is set for a hedge or a retry.
 	Extra bool
+	// Admits reports whether the limit of the replica, if it has one, still admits the
+	// attempt. It is called right before the attempt is sent; nil if it always does.
+	Admits func() bool
 }
 
 // Reply is the outcome of an attempt.
@@ -137,6 +140,9 @@
 	Leaving bool
 	// Pause is for how long the replica wants no requests.
 	Pause time.Duration
+	// RetryAfter is the delay after which a request that the replica's limit did not
+	// admit may be sent again, 0 for any other.
+	RetryAfter time.Duration
 	// NamedRate is the number of requests a second that the replica says it takes from
 	// all hosts together, 0 if it names none.
 	NamedRate float64
@@ -203,8 +209,8 @@
 	Picker *replica.Picker
 	// Suspects records which replicas reply late; it may be nil.
 	Suspects *suspect.Tracker
-	// Cold limits the requests to cold replicas; nil if there is no limit.
-	Cold *ColdLimits
+	// Limits limits the requests to single replicas; nil if there are no limits.
+	Limits *ReplicaLimits
 	// Random returns a number in [0, 1).
 	Random func() float64
 	// Event logs a decision.
--- a/dispatch/explain.go
+++ b/dispatch/explain.go
@@ -15,6 +15,7 @@
 	AskedToPause roster.Exclusion = "asked for a pause"
 	Ejected      roster.Exclusion = "ejected"
 	Cold         roster.Exclusion = "cold, and this host has no token for it"
+	Limited      roster.Exclusion = "named a limit, and this host has no token for it"
 )
 
 // Explanation is where a request would go now, and why.
@@ -44,7 +45,7 @@
 	// Chosen is the ID of the replica that would get the first attempt, empty if none
 	// would now or a peer chooses it.
 	Chosen string
-	// AwaitsToken is set if all replicas are cold and the chosen one gets the attempt once
+	// AwaitsToken is set if all replicas are limited and the chosen one gets the attempt once
 	// there is a token for it.
 	AwaitsToken bool
 	// Wait is how long the first attempt waits for the end of a pause.
@@ -115,14 +116,16 @@
 	ids := make([]string, len(choice.replicas))
 	reasons := make(map[string]roster.Exclusion, len(candidates))
 	for _, candidate := range candidates {
-		reasons[candidate.ID] = Cold
+		if run.dispatcher.Limits != nil {
+			reasons[candidate.ID] = run.dispatcher.Limits.Limited(candidate)
+		}
 	}
 	for i, admitted := range choice.replicas {
 		ids[i], reasons[admitted.ID] = admitted.ID, ""
 	}
 	if peer == "" {
 		if chosen := preview.Pick(ids); chosen >= 0 {
-			explained.Chosen, explained.AwaitsToken = ids[chosen], choice.waits
+			explained.Chosen, explained.AwaitsToken = ids[chosen], choice.waits || choice.asks(chosen)
 		} else if run.awaitPause(part) {
 			explained.Wait = part.resumeAt.Sub(run.dispatcher.Picker.Now())
 		}
--- a/dispatch/explain_test.go
+++ b/dispatch/explain_test.go
@@ -10,7 +10,6 @@
 
 	qt "github.com/frankban/quicktest"
 
-	"fescuehall/allowance"
 	"fescuehall/dispatch"
 	"fescuehall/logbook"
 	"fescuehall/metric"
@@ -131,7 +130,7 @@
 		replicas, _ := listOf("north1", "north1", "north1")
 		dispatcher := newExplained(t, replicas)
 		peek := test.tokens.limits().TakeNow
-		dispatcher.Cold = &dispatch.ColdLimits{Limited: test.tokens.limits().Limited, PeekNow: func(replica roster.Replica) allowance.Decision { return peek(replica).Decision }}
+		dispatcher.Limits = &dispatch.ReplicaLimits{Limited: test.tokens.limits().Limited, PeekNow: peek}
 		part := dispatcher.Explain(newRequest(singleRoute(true))).Parts[0]
 		reasons := make(map[string]roster.Exclusion)
 		for _, explained := range part.Replicas {
--- a/dispatch/limits_test.go
+++ b/dispatch/limits_test.go
@@ -1,6 +1,7 @@
 package dispatch_test
 
 import (
+	"cmp"
 	"context"
 	"slices"
 	"strings"
@@ -23,11 +24,18 @@
 	// wait is how long a token is awaited, 0 if none comes.
 	wait     time.Duration
 	returned []string
+	// reason is why the replicas in cold are limited, Cold if it is empty.
+	reason roster.Exclusion
 }
 
-func (tokens *coldTokens) limits() *dispatch.ColdLimits {
-	return &dispatch.ColdLimits{
-		Limited: func(replica roster.Replica) bool { return slices.Contains(tokens.cold, replica.ID) },
+func (tokens *coldTokens) limits() *dispatch.ReplicaLimits {
+	return &dispatch.ReplicaLimits{
+		Limited: func(replica roster.Replica) roster.Exclusion {
+			if slices.Contains(tokens.cold, replica.ID) {
+				return cmp.Or(tokens.reason, dispatch.Cold)
+			}
+			return ""
+		},
 		TakeNow: func(replica roster.Replica) allowance.Ticket {
 			if slices.Contains(tokens.tokens, replica.ID) {
 				return allowance.Ticket{Decision: allowance.Allowed}
@@ -79,7 +87,7 @@
 			synctest.Test(t, func(t *testing.T) {
 				replicas := &fakeReplicas{respond: test.respond}
 				dispatcher := newDispatcher(replicas)
-				dispatcher.Cold = test.tokens.limits()
+				dispatcher.Limits = test.tokens.limits()
 				started := time.Now()
 				answer := dispatcher.Serve(t.Context(), newRequest(singleRoute(true)))
 				took := time.Since(started)
--- a/dispatch/result.go
+++ b/dispatch/result.go
@@ -145,6 +145,7 @@
 func (run *run) failureAnswer() *Answer {
 	worst := verdict.NotRun
 	cause := verdict.New(verdict.NotRun, verdict.NoReplica, "no replica accepts requests")
+	retryAfter := failureRetryAfter
 	for _, part := range run.parts {
 		partVerdict := part.worstVerdict
 		if part.reply != nil || part.answeredByPeer {
@@ -156,6 +157,7 @@
 		worst = max(worst, partVerdict)
 		if part.lastFailure != nil {
 			cause = part.lastFailure.Failure
+			retryAfter = max(retryAfter, part.lastFailure.RetryAfter)
 		}
 	}
 	switch {
@@ -168,7 +170,7 @@
 	if failure.Code == verdict.Stopping {
 		return &Answer{Failure: failure, RetryAfter: run.stoppingRetryAfter()}
 	}
-	return &Answer{Failure: failure, RetryAfter: failureRetryAfter}
+	return &Answer{Failure: failure, RetryAfter: retryAfter}
 }
 
 // log records the request's outcome, and what led to it, in the metrics and the
--- a/intake/intake.go
+++ b/intake/intake.go
@@ -89,39 +89,51 @@
 	}
 	now := limits.Now()
 	limits.mu.Lock()
+	event, limit, before := "", Limit{}, 0.0
+	if rate > 0 {
+		event, limit, before = limits.name(replica, rate, now)
+	} else {
+		event, limit, before = limits.lift(replica, started)
+	}
+	limits.mu.Unlock()
+	if event != "" && limits.Report != nil {
+		limits.Report(event, replica, limit, before)
+	}
+}
+
+// name records that a replica names a rate. It returns the event to report, empty if
+// there is none, with the limit and the rate that was reported before. The caller holds
+// the lock.
+func (limits *Limits) name(replica string, rate float64, now time.Time) (event string, limit Limit, before float64) {
 	found := limits.limits[replica]
-	event, before := "", 0.0
-	switch {
-	case rate > 0 && found == nil:
-		found = &tracked{Limit: Limit{Rate: rate, Since: now}}
+	if found == nil {
+		found = &tracked{Limit: Limit{Since: now}}
 		if limits.limits == nil {
 			limits.limits = make(map[string]*tracked)
 		}
 		limits.limits[replica] = found
 		limits.count.Add(1)
 		event = Named
-	case rate > 0 && rate != found.reported && now.Sub(found.reportedAt) >= changeInterval:
+	} else if rate != found.reported && now.Sub(found.reportedAt) >= changeInterval {
 		event, before = Changed, found.reported
-	case rate <= 0 && found != nil && started.After(found.NamedAt):
-		delete(limits.limits, replica)
-		limits.count.Add(-1)
-		event, before = Lifted, found.Rate
-	}
-	if found == nil {
-		limits.mu.Unlock()
-		return
-	}
-	if rate > 0 {
-		found.Rate, found.NamedAt = rate, now
 	}
+	found.Rate, found.NamedAt = rate, now
 	if event != "" {
 		found.reported, found.reportedAt = rate, now
 	}
-	limit := found.Limit
-	limits.mu.Unlock()
-	if event != "" && limits.Report != nil {
-		limits.Report(event, replica, limit, before)
+	return event, found.Limit, before
+}
+
+// lift removes a replica's limit unless an attempt was started before an answer that
+// named it. It returns what name does. The caller holds the lock.
+func (limits *Limits) lift(replica string, started time.Time) (event string, limit Limit, before float64) {
+	found := limits.limits[replica]
+	if found == nil || !started.After(found.NamedAt) {
+		return "", Limit{}, 0
 	}
+	delete(limits.limits, replica)
+	limits.count.Add(-1)
+	return Lifted, found.Limit, found.Rate
 }
 
 // RecordSent records an attempt that is sent to a replica.
--- a/verdict/verdict.go
+++ b/verdict/verdict.go
@@ -79,6 +79,7 @@
 	UnknownKey       Code = "UnknownKey"
 	AllowanceUsed    Code = "AllowanceUsed"
 	AllowanceUnknown Code = "AllowanceUnknown"
+	LimitReached     Code = "LimitReached"
 )
 
 // Failure is the error type of all steps that serve a request.
