dispatch, replica: take a token only of the replica that is chosen

What callers saw: with 12 of 13 replicas of a service limited to 1 request a second, 76 of 750 archive queries were late (p99 7.0 s), although the limits had room for the demand.

Cause: each attempt took a token of every limited replica that it could go to, and gave back all but one. At few requests a second the others expired before the next request.

Change: the picker asks whether a replica admits the attempt only for the one that it would pick, then for the next best. A part may wait 40 ms in all for keepers' replies; then only tokens at hand count.

--- a/dispatch/attempt.go
+++ b/dispatch/attempt.go
@@ -23,6 +23,9 @@
 	running    int
 	// unreachable counts the attempts that could not reach their replica.
 	unreachable int
+	// askUntil is how long the part may wait for replies of keepers while other replicas
+	// could get its attempt, the zero time before the first such wait.
+	askUntil time.Time
 	// hedgeAt is when the part is hedged, zero if it is not to be hedged.
 	hedgeAt time.Time
 	// resumeAt is when the first attempt is sent, after the pause of a replica, zero
@@ -73,6 +76,8 @@
 	ticket allowance.Ticket
 	// admittedAt is when it had its token, the zero time if it got none.
 	admittedAt time.Time
+	// askUntil is how long the attempt may wait for a keeper's reply unless waits is set.
+	askUntil time.Time
 	// extra is set for a hedge or a retry.
 	extra bool
 }
@@ -81,23 +86,20 @@
 // replica is left to try.
 func (run *run) startAttempt(index int, hedge bool) bool {
 	part := run.parts[index]
-	take := takeNow
-	if hedge {
-		take = takeNowForHedge
+	now := time.Now()
+	chooser := chooser{limits: run.dispatcher.Limits, pick: run.dispatcher.Picker.PickAdmitted, mayAsk: !hedge && part.mayAsk(now), mayWait: !hedge}
+	if chooser.limits != nil {
+		chooser.takeNow = chooser.limits.TakeNow
 	}
-	choice := run.choice(run.candidates(part), take)
-	if choice.waits && hedge {
+	choice, ok := chooser.choose(run.candidates(part))
+	if !ok {
 		return false
 	}
-	ids := make([]string, len(choice.replicas))
-	for i, candidate := range choice.replicas {
-		ids[i] = candidate.ID
+	if choice.ticket.Asking && part.askUntil.IsZero() {
+		part.askUntil = now.Add(askWait)
 	}
-	chosen := run.dispatcher.Picker.Pick(ids)
-	if chosen < 0 {
-		return false
-	}
-	sentAttempt := &sentAttempt{index: index, replica: choice.replicas[chosen], started: time.Now(), waits: choice.waits, ticket: choice.take(run.dispatcher.Limits, chosen), extra: len(part.attempts) > 0}
+	sentAttempt := &sentAttempt{index: index, replica: choice.replica, started: now, waits: choice.waits, ticket: choice.ticket, askUntil: part.askUntil}
+	sentAttempt.extra = part.mayHaveRun > 0 || part.lastFailure != nil && !wasNotSent(part.lastFailure.Failure)
 	sentAttempt.ctx, sentAttempt.cancel = context.WithCancel(run.ctx)
 	part.attempts = append(part.attempts, sentAttempt)
 	part.attempted[sentAttempt.replica.ID] = true
@@ -276,7 +278,9 @@
 		return false
 	}
 	if wasNotSent(failure) {
-		part.unreachable++
+		if !part.asks(failure) {
+			part.unreachable++
+		}
 		return run.startAttempt(index, false)
 	}
 	if part.notRetried = run.takeExtra(part.service); part.notRetried != "" {
@@ -292,6 +296,17 @@
 	return failure.Code == verdict.Unreachable || failure.Code == verdict.Draining || failure.Code == verdict.LimitReached
 }
 
+// asks reports whether a failed attempt is followed by one that may ask keepers for a
+// token of another replica.
+func (part *part) asks(failure *verdict.Failure) bool {
+	return failure.Code == verdict.LimitReached && part.mayAsk(time.Now())
+}
+
+// mayAsk reports whether an attempt may wait for the reply of a keeper.
+func (part *part) mayAsk(now time.Time) bool {
+	return part.askUntil.IsZero() || now.Before(part.askUntil)
+}
+
 // takeExtra takes a token for an extra attempt at a service. It returns why there is
 // none, or an empty string. A workspace that sends more than its share gets none of
 // the last half of the budget.
@@ -323,7 +338,7 @@
 		return "this host stops"
 	case len(run.candidates(part)) == 0:
 		return "no other replica"
-	case wasNotSent(failure) && part.unreachable+1 >= maxUnreachable:
+	case wasNotSent(failure) && !part.asks(failure) && part.unreachable+1 >= maxUnreachable:
 		return "too many unreachable replicas"
 	}
 	return ""
--- a/dispatch/explain.go
+++ b/dispatch/explain.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"fescuehall/allowance"
 	"fescuehall/rank"
 	"fescuehall/reach"
 	"fescuehall/replica"
@@ -112,20 +113,14 @@
 func (run *run) explainPart(part *part, listed []roster.Listed, preview *replica.Preview, peer string) ExplainedPart {
 	explained := ExplainedPart{Service: part.service, Peer: peer}
 	candidates := run.candidates(part)
-	choice := run.choice(candidates, peekNow)
-	ids := make([]string, len(choice.replicas))
-	reasons := make(map[string]roster.Exclusion, len(candidates))
-	for _, candidate := range candidates {
-		if run.dispatcher.Limits != nil {
-			reasons[candidate.ID] = run.dispatcher.Limits.Limited(candidate)
-		}
-	}
-	for i, admitted := range choice.replicas {
-		ids[i], reasons[admitted.ID] = admitted.ID, ""
-	}
+	reasons := run.withoutToken(candidates)
 	if peer == "" {
-		if chosen := preview.Pick(ids); chosen >= 0 {
-			explained.Chosen, explained.AwaitsToken = ids[chosen], choice.waits || choice.asks(chosen)
+		chooser := chooser{limits: run.dispatcher.Limits, pick: preview.PickAdmitted, mayAsk: true, mayWait: true}
+		if chooser.limits != nil {
+			chooser.takeNow = chooser.limits.PeekNow
+		}
+		if choice, ok := chooser.choose(candidates); ok {
+			explained.Chosen, explained.AwaitsToken = choice.replica.ID, choice.waits || choice.ticket.Asking
 		} else if run.awaitPause(part) {
 			explained.Wait = part.resumeAt.Sub(run.dispatcher.Picker.Now())
 		}
@@ -143,6 +138,29 @@
 	return explained
 }
 
+// withoutToken returns why candidates get no request before there is a token, by their
+// IDs: empty reasons for the others, and for all if there is no other.
+func (run *run) withoutToken(candidates []roster.Replica) map[string]roster.Exclusion {
+	reasons, excluded := make(map[string]roster.Exclusion, len(candidates)), 0
+	for _, candidate := range candidates {
+		reasons[candidate.ID] = ""
+		limits := run.dispatcher.Limits
+		if limits == nil || limits.Limited(candidate) == "" {
+			continue
+		}
+		if ticket := limits.PeekNow(candidate); ticket.Decision != allowance.Allowed && !ticket.Asking {
+			reasons[candidate.ID] = limits.Limited(candidate)
+			excluded++
+		}
+	}
+	if excluded == len(candidates) {
+		for id := range reasons {
+			reasons[id] = ""
+		}
+	}
+	return reasons
+}
+
 // exclusion returns why a replica that accepts requests is no candidate.
 func (run *run) exclusion(replica roster.Replica) roster.Exclusion {
 	switch {
--- a/dispatch/limits.go
+++ b/dispatch/limits.go
@@ -9,8 +9,8 @@
 	"fescuehall/verdict"
 )
 
-// askWait is how long an attempt waits for a keeper's reply while other replicas could
-// get it: many times the usual round trip between failure domains.
+// askWait is how long a part waits for replies of keepers while other replicas could get
+// its attempt: many times the usual round trip between failure domains.
 const askWait = 40 * time.Millisecond
 
 // ReplicaLimits are the limits on requests to single replicas, which all hosts share:
@@ -34,54 +34,55 @@
 	Admits func(replica roster.Replica, ticket allowance.Ticket) bool
 }
 
-// choice is the replicas among which an attempt's is chosen.
+// choice is the choice of the replica that gets an attempt.
 type choice struct {
-	replicas []roster.Replica
-	// tickets holds the tickets of those that are limited, by index; nil if none is.
-	tickets []allowance.Ticket
-	// waits is set if none of the replicas may get the attempt before it has a token.
+	replica roster.Replica
+	// ticket is the ticket for the replica, the zero value if it is not limited.
+	ticket allowance.Ticket
+	// waits is set if no replica may get the attempt before it has a token.
 	waits bool
 }
 
-// choice returns the replicas that may get an attempt now: those that are not limited,
-// limited ones for which this host has a token, and those for which it soon may have
-// one. If there are none, an attempt has to wait for a token. takeNow takes a token as
-// TakeNow does.
-func (run *run) choice(candidates []roster.Replica, takeNow func(limits *ReplicaLimits, replica roster.Replica) allowance.Ticket) choice {
-	limits := run.dispatcher.Limits
-	if limits == nil || !anyLimited(limits, candidates) {
-		return choice{replicas: candidates}
+// chooser chooses the replicas of attempts.
+type chooser struct {
+	limits *ReplicaLimits
+	// pick picks a replica by its ID, among those that admits admits unless it is nil.
+	pick func(ids []string, admits func(index int) bool) int
+	// takeNow takes a token for a limited replica if there is one.
+	takeNow func(replica roster.Replica) allowance.Ticket
+	// mayAsk is set if the attempt may wait for the reply of a keeper, and mayWait if it
+	// may wait for a token when no replica may get it without.
+	mayAsk, mayWait bool
+}
+
+// choose chooses among replicas: those that are not limited, limited ones for which
+// there is a token, and those for which there may be one soon. If there are none, the
+// attempt has to wait for a token. It returns false without a replica.
+func (chooser chooser) choose(candidates []roster.Replica) (choice, bool) {
+	ids := make([]string, len(candidates))
+	for index, candidate := range candidates {
+		ids[index] = candidate.ID
 	}
-	var admitted choice
-	for _, candidate := range candidates {
-		var ticket allowance.Ticket
-		if limits.Limited(candidate) != "" {
-			ticket = takeNow(limits, candidate)
-			if ticket.Decision != allowance.Allowed && !ticket.Asking {
-				continue
+	limited := chooser.limits != nil && anyLimited(chooser.limits, candidates)
+	var admits func(index int) bool
+	var ticket allowance.Ticket
+	if limited {
+		admits = func(index int) bool {
+			ticket = allowance.Ticket{}
+			if chooser.limits.Limited(candidates[index]) == "" {
+				return true
 			}
+			ticket = chooser.takeNow(candidates[index])
+			return ticket.Decision == allowance.Allowed || ticket.Asking && chooser.mayAsk
 		}
-		admitted.replicas, admitted.tickets = append(admitted.replicas, candidate), append(admitted.tickets, ticket)
 	}
-	if len(admitted.replicas) == 0 {
-		return choice{replicas: candidates, waits: true}
+	if chosen := chooser.pick(ids, admits); chosen >= 0 {
+		return choice{replica: candidates[chosen], ticket: ticket}, true
 	}
-	return admitted
-}
-
-func takeNow(limits *ReplicaLimits, replica roster.Replica) allowance.Ticket {
-	return limits.TakeNow(replica)
-}
-
-// takeNowForHedge is takeNow for a hedge, which waits for nothing.
-func takeNowForHedge(limits *ReplicaLimits, replica roster.Replica) allowance.Ticket {
-	ticket := limits.TakeNow(replica)
-	ticket.Asking = false
-	return ticket
-}
-
-func peekNow(limits *ReplicaLimits, replica roster.Replica) allowance.Ticket {
-	return limits.PeekNow(replica)
+	if !limited || !chooser.mayWait {
+		return choice{}, false
+	}
+	return choice{replica: candidates[chooser.pick(ids, nil)], waits: true}, true
 }
 
 func anyLimited(limits *ReplicaLimits, candidates []roster.Replica) bool {
@@ -93,25 +94,6 @@
 	return false
 }
 
-// asks reports whether the attempt has to wait for the keepers' reply on a replica.
-func (choice choice) asks(index int) bool {
-	return choice.tickets != nil && choice.tickets[index].Asking
-}
-
-// take returns the ticket for the chosen replica and gives back the others.
-func (choice choice) take(limits *ReplicaLimits, chosen int) allowance.Ticket {
-	var taken allowance.Ticket
-	for index, ticket := range choice.tickets {
-		switch {
-		case index == chosen:
-			taken = ticket
-		case ticket.Decision == allowance.Allowed:
-			limits.Return(choice.replicas[index], ticket)
-		}
-	}
-	return taken
-}
-
 // send sends an attempt, after it has got a token if its replica is limited.
 func (run *run) send(sentAttempt *sentAttempt) *Reply {
 	limits := run.dispatcher.Limits
@@ -142,7 +124,7 @@
 	until := run.request.Deadline.Add(-2 * deadlineMargin)
 	switch due := run.request.Due(); {
 	case !sentAttempt.waits:
-		until = earlier(until, time.Now().Add(askWait))
+		until = earlier(until, sentAttempt.askUntil)
 	case reason == Limited && !due.IsZero():
 		until = earlier(until, due)
 	}
--- a/replica/picker.go
+++ b/replica/picker.go
@@ -4,6 +4,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -102,20 +103,47 @@
 	if len(addresses) == 0 {
 		return -1
 	}
-	var buffer [maxJudged]judged
 	now := picker.Now()
+	chosen := picker.choose(addresses, now)
+	picker.startAt(addresses[chosen], now)
+	return chosen
+}
+
+// PickAdmitted picks as Pick does, among the replicas that admits admits, or all if it
+// is nil. It asks only about the one that it would pick, by its index, then about the
+// next best.
+func (picker *Picker) PickAdmitted(addresses []string, admits func(index int) bool) int {
+	if admits == nil {
+		return picker.Pick(addresses)
+	}
+	now := picker.Now()
+	remaining, indexes := slices.Clone(addresses), make([]int, len(addresses))
+	for index := range indexes {
+		indexes[index] = index
+	}
+	for len(remaining) > 0 {
+		chosen := picker.choose(remaining, now)
+		if admits(indexes[chosen]) {
+			picker.startAt(remaining[chosen], now)
+			return indexes[chosen]
+		}
+		remaining, indexes = slices.Delete(remaining, chosen, chosen+1), slices.Delete(indexes, chosen, chosen+1)
+	}
+	return -1
+}
+
+// choose returns the index of the replica that gets the next attempt. There is at least
+// one.
+func (picker *Picker) choose(addresses []string, now time.Time) int {
+	var buffer [maxJudged]judged
 	eligible := picker.judge(buffer[:0], addresses, now)
-	chosen := 0
 	switch {
 	case len(eligible) == 0:
-		chosen = picker.Random(len(addresses))
+		return picker.Random(len(addresses))
 	case picker.Distance != nil:
-		chosen = picker.best(eligible)
-	default:
-		chosen = picker.betterOfTwo(eligible)
+		return picker.best(eligible)
 	}
-	picker.startAt(addresses[chosen], now)
-	return chosen
+	return picker.betterOfTwo(eligible)
 }
 
 // betterOfTwo returns the better of two random replicas, so that hosts with the
--- a/replica/preview.go
+++ b/replica/preview.go
@@ -19,6 +19,18 @@
 // been called for the earlier choices of the preview. It changes no state of the
 // picker.
 func (preview *Preview) Pick(addresses []string) int {
+	preview.know(addresses)
+	return preview.copied.Pick(addresses)
+}
+
+// PickAdmitted is to PickAdmitted of the picker what Pick is to Pick.
+func (preview *Preview) PickAdmitted(addresses []string, admits func(index int) bool) int {
+	preview.know(addresses)
+	return preview.copied.PickAdmitted(addresses, admits)
+}
+
+// know copies the states of the replicas that the preview does not know yet.
+func (preview *Preview) know(addresses []string) {
 	for _, address := range addresses {
 		if !preview.known[address] {
 			preview.known[address] = true
@@ -26,5 +38,4 @@
 			preview.copied.withState(address, func(state *state) { *state = snapshot })
 		}
 	}
-	return preview.copied.Pick(addresses)
 }
