dispatch, platform: test limits of replicas against three changes that no test failed on

Requests that wait for a connection when a limit is named, replicas asked in vain before one that is unreachable, and the time spent waiting for a token.

--- a/dispatch/named_limits_test.go
+++ b/dispatch/named_limits_test.go
@@ -63,6 +63,12 @@
 func TestReplicasThatNameLimits(t *testing.T) {
 	const answerIn, due = 5 * time.Millisecond, target - 14*time.Millisecond
 	slow := func(string, int) (time.Duration, *verdict.Failure) { return 300 * time.Millisecond, nil }
+	unreachable := func(id string, _ int) (time.Duration, *verdict.Failure) {
+		if id == "s0g" {
+			return time.Millisecond, newFailure(verdict.NotRun, verdict.Unreachable)
+		}
+		return answerIn, nil
+	}
 	tests := []struct {
 		name    string
 		limits  namedLimits
@@ -79,6 +85,7 @@
 		{name: "a token comes", limits: namedLimits{tickets: map[string]allowance.Ticket{"s0a": asking}, wait: 3 * time.Millisecond, awaited: hasToken}, sent: "s0a", took: 3*time.Millisecond + answerIn},
 		{name: "the keepers have none", limits: namedLimits{tickets: map[string]allowance.Ticket{"s0a": asking}, wait: 3 * time.Millisecond, awaited: usedUp}, sent: "s0b", took: 3*time.Millisecond + answerIn},
 		{name: "several have none", limits: namedLimits{tickets: map[string]allowance.Ticket{"s0a": asking, "s0c": asking, "s0d": asking, "s0e": asking, "s0f": asking, "s0g": asking}, wait: 3 * time.Millisecond, awaited: usedUp}, extra: 5, sent: "s0b", took: 18*time.Millisecond + answerIn},
+		{name: "several have none, the next is unreachable", limits: namedLimits{tickets: map[string]allowance.Ticket{"s0a": asking, "s0c": asking, "s0d": asking, "s0e": asking, "s0f": asking}, wait: 3 * time.Millisecond, awaited: usedUp}, respond: unreachable, extra: 5, sent: "s0g s0b", took: 16*time.Millisecond + answerIn},
 		{name: "the keepers are silent", limits: namedLimits{tickets: map[string]allowance.Ticket{"s0a": asking}, wait: -1}, sent: "s0b", took: 40*time.Millisecond + answerIn},
 		{name: "no longer admitted when sent", limits: namedLimits{tickets: map[string]allowance.Ticket{"s0a": hasToken}, full: "s0a"}, sent: "s0b", took: answerIn},
 		{name: "the limit is named while the attempt waits", limits: namedLimits{full: "s0a"}, sent: "s0b", took: answerIn},
@@ -151,3 +158,15 @@
 		})
 	}
 }
+
+// The time in which an attempt waits for a token is not counted as the replica's.
+func TestWaitForTokenIsNotTheReplicasTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		dispatcher := newDispatcher(&fakeReplicas{})
+		limits := namedLimits{tickets: map[string]allowance.Ticket{"s0a": asking}, wait: 30 * time.Millisecond, awaited: hasToken}
+		dispatcher.Limits = limits.replicaLimits()
+		dispatcher.Serve(t.Context(), newRequest(singleRoute(true)))
+		time.Sleep(2 * time.Second)
+		qt.Assert(t, dispatcher.Picker.Status("s0a").Parts.Own, qt.Equals, 5*time.Millisecond)
+	})
+}
