exchange: accept no response whose status HTTP does not have

What callers saw: a reply with a status below 100, such as 000, counted as an interim response, and the request then waited for another one until its deadline. It never reached a caller, but neither did anything else in time. A status of 600 to 999 was passed on as the server's answer. After 101 the connection was read on as HTTP.

Change: a status outside of 100 to 599, or 101, ends the attempt as one that may have run (ReplyMismatch) and the connection is closed, so that a request that may be repeated goes to another server at once.

The product's own path takes any status but 200 for a failure.

--- a/exchange/conn.go
+++ b/exchange/conn.go
@@ -124,6 +124,9 @@
 	if holdsStatusLine(response) {
 		return nil, false, errSecondStatusLine
 	}
+	if !isStatus(response.StatusCode) {
+		return nil, false, errInvalidStatus
+	}
 	// The body is not closed, since that reads it to its end.
 	body, err := conn.readBody(response, request)
 	if err != nil {
@@ -137,6 +140,14 @@
 // broke off a response and sent the next on the same connection.
 var errSecondStatusLine = errors.New("the head of the response holds a second status line")
 
+// errInvalidStatus is the error for a head whose status is none, or 101: no request asks
+// for another protocol.
+var errInvalidStatus = errors.New("the response has a status that is not valid")
+
+func isStatus(status int) bool {
+	return status >= minStatus && status <= maxStatus && status != http.StatusSwitchingProtocols
+}
+
 var statusLine = regexp.MustCompile(`HTTP/1\.[0-9] [0-9]{3}`)
 
 // holdsStatusLine reports whether the reason or a header field of a response holds a
--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -187,6 +187,8 @@
 	switch {
 	case errors.Is(err, quota.ErrExhausted):
 		code = verdict.MemoryExhausted
+	case errors.Is(err, errInvalidStatus):
+		code = verdict.ReplyMismatch
 	case errors.As(err, &limitErr):
 		code = verdict.ReplyTooLarge
 		if pool.Oversized != nil {
--- a/exchange/head.go
+++ b/exchange/head.go
@@ -23,8 +23,11 @@
 	protocolPrefix = "HTTP/1."
 	headEnd        = "\r\n\r\n"
 	lineEnd        = "\r\n"
-	// statusDigits is the length of a status code.
+	// statusDigits is the length of a status code, minStatus and maxStatus are the
+	// lowest and the highest one of HTTP (RFC 9110, section 15).
 	statusDigits = 3
+	minStatus    = 100
+	maxStatus    = 599
 	// maxLengthDigits bounds the length of a plain Content-Length, so that it
 	// fits into 63 bits.
 	maxLengthDigits = 18
@@ -73,14 +76,14 @@
 }
 
 // plainStatus returns the status code of a status line. It reports false for
-// the codes without a body, among others.
+// the codes without a body and those that HTTP does not have, among others.
 func plainStatus(line string) (int, bool) {
 	rest, ok := strings.CutPrefix(line, statusPrefix)
 	if !ok || len(rest) < statusDigits || len(rest) > statusDigits && rest[statusDigits] != ' ' || !isPlainValue(rest) {
 		return 0, false
 	}
 	status, err := strconv.ParseUint(rest[:statusDigits], 10, 16)
-	if err != nil || status < http.StatusOK || status == http.StatusNoContent || status == http.StatusNotModified {
+	if err != nil || status < http.StatusOK || status > maxStatus || status == http.StatusNoContent || status == http.StatusNotModified {
 		return 0, false
 	}
 	return int(status), true
