--- a/dispatch/attempt.go
+++ b/dispatch/attempt.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"fescuehall/allowance"
@@ -154,8 +155,8 @@
 	result := replica.Result{Latency: latency, Load: sentAttempt.reply.Load, Failed: failure != nil}
 	if failure != nil {
 		result.Unreachable = failure.Code == verdict.Unreachable
-		// A replica that accepts no requests has not failed.
-		result.Cancelled = failure.Code == verdict.Cancelled || wasNotSent(failure) && !result.Unreachable
+		// A replica that was sent nothing has not failed.
+		result.Cancelled = slices.Contains([]verdict.Code{verdict.Cancelled, verdict.Draining, verdict.LimitReached}, failure.Code)
 	}
 	run.recordWishes(sentAttempt)
 	run.dispatcher.Picker.Done(sentAttempt.replica.ID, result)
--- a/dispatch/explain.go
+++ b/dispatch/explain.go
@@ -46,8 +46,8 @@
 	// Chosen is the ID of the replica that would get the first attempt, empty if none
 	// would now or a peer chooses it.
 	Chosen string
-	// AwaitsToken is set if all replicas are limited and the chosen one gets the attempt once
-	// there is a token for it.
+	// AwaitsToken is set if the chosen replica is limited and gets the attempt once there
+	// is a token for it.
 	AwaitsToken bool
 	// Wait is how long the first attempt waits for the end of a pause.
 	Wait time.Duration
--- a/dispatch/explain_test.go
+++ b/dispatch/explain_test.go
@@ -115,8 +115,8 @@
 	})
 }
 
-// A cold replica without a token is excluded, unless all are cold. No token is taken or
-// asked for.
+// A cold replica without a token is excluded, unless all are cold, and so is one that
+// names a limit. No token is taken or asked for.
 func TestExplainCold(t *testing.T) {
 	for _, test := range []struct {
 		tokens  coldTokens
@@ -125,6 +125,7 @@
 	}{
 		{coldTokens{cold: []string{"s0a"}}, map[string]roster.Exclusion{"s0a": dispatch.Cold, "s0b": "", "s0c": ""}, false},
 		{coldTokens{cold: []string{"s0a", "s0b"}, tokens: []string{"s0a"}}, map[string]roster.Exclusion{"s0a": "", "s0b": dispatch.Cold, "s0c": ""}, false},
+		{coldTokens{cold: []string{"s0a"}, reason: dispatch.Limited}, map[string]roster.Exclusion{"s0a": dispatch.Limited, "s0b": "", "s0c": ""}, false},
 		{coldTokens{cold: []string{"s0a", "s0b", "s0c"}}, map[string]roster.Exclusion{"s0a": "", "s0b": "", "s0c": ""}, true},
 	} {
 		replicas, _ := listOf("north1", "north1", "north1")
--- a/where/where.go
+++ b/where/where.go
@@ -93,8 +93,8 @@
 	// Chosen is the replica that would get the first attempt, empty if there is none
 	// now or a peer chooses it.
 	Chosen string `json:",omitempty"`
-	// AwaitsToken is set if all replicas are limited and the chosen one gets the attempt once
-	// there is a token for it.
+	// AwaitsToken is set if the chosen replica is limited and gets the attempt once there
+	// is a token for it.
 	AwaitsToken bool `json:",omitempty"`
 	// WaitMillis is how long the first attempt would wait for the end of a pause.
 	WaitMillis      float64 `json:",omitempty"`
