--- a/dispatch/attempt.go
+++ b/dispatch/attempt.go
@@ -89,9 +89,6 @@
 	part := run.parts[index]
 	now := time.Now()
 	chooser := chooser{limits: run.dispatcher.Limits, pick: run.dispatcher.Picker.PickAdmitted, mayAsk: !hedge && part.mayAsk(now), mayWait: !hedge}
-	if chooser.limits != nil {
-		chooser.takeNow = chooser.limits.TakeNow
-	}
 	choice, ok := chooser.choose(run.candidates(part))
 	if !ok {
 		return false
--- a/dispatch/explain.go
+++ b/dispatch/explain.go
@@ -115,10 +115,7 @@
 	candidates := run.candidates(part)
 	reasons := run.withoutToken(candidates)
 	if peer == "" {
-		chooser := chooser{limits: run.dispatcher.Limits, pick: preview.PickAdmitted, mayAsk: true, mayWait: true}
-		if chooser.limits != nil {
-			chooser.takeNow = chooser.limits.PeekNow
-		}
+		chooser := chooser{limits: run.dispatcher.Limits, pick: preview.PickAdmitted, peek: true, mayAsk: true, mayWait: true}
 		if choice, ok := chooser.choose(candidates); ok {
 			explained.Chosen, explained.AwaitsToken = choice.replica.ID, choice.waits || choice.ticket.Asking
 		} else if run.awaitPause(part) {
--- a/dispatch/limits.go
+++ b/dispatch/limits.go
@@ -48,8 +48,8 @@
 	limits *ReplicaLimits
 	// pick picks a replica by its ID, among those that admits admits unless it is nil.
 	pick func(ids []string, admits func(index int) bool) int
-	// takeNow takes a token for a limited replica if there is one.
-	takeNow func(replica roster.Replica) allowance.Ticket
+	// peek is set if no tokens are to be taken or asked for.
+	peek bool
 	// mayAsk is set if the attempt may wait for the reply of a keeper, and mayWait if it
 	// may wait for a token when no replica may get it without.
 	mayAsk, mayWait bool
@@ -85,6 +85,14 @@
 	return choice{replica: candidates[chooser.pick(ids, nil)], waits: true}, true
 }
 
+// takeNow takes a token for a limited replica if there is one.
+func (chooser chooser) takeNow(replica roster.Replica) allowance.Ticket {
+	if chooser.peek {
+		return chooser.limits.PeekNow(replica)
+	}
+	return chooser.limits.TakeNow(replica)
+}
+
 func anyLimited(limits *ReplicaLimits, candidates []roster.Replica) bool {
 	for _, candidate := range candidates {
 		if limits.Limited(candidate) != "" {
