platform, feed: take the age of a list from the state of the store that it shows

Cause: a list counted as recent from the moment at which its read was sent. The revision of a serializable read was compared with those that this process had seen 0.5 s before or earlier, which a host that follows a reader has not, and which say nothing in a quiet store. Old lists got the age 0, replaced newer ones on other hosts, and were relied on.

Change: a consistent reply dates its revision by the time at which the call was sent. A serializable read is as old as the last such call that it does not lag behind, and is repeated as a consistent one if that is more than 0.5 s or not known. Age, era and revision go to other hosts with the list; a list of an earlier state never replaces one of a later state. Variables ListAgeMillis and StaleReads show what no log did.

--- a/feed/evacuation_test.go
+++ b/feed/evacuation_test.go
@@ -8,6 +8,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"fescuehall/feed"
 	"fescuehall/message"
 	"fescuehall/roster"
 	"fescuehall/shard"
@@ -108,7 +109,7 @@
 		qt.Assert(t, follower.FetchOnce(context.Background()), qt.IsNil)
 		qt.Check(t, updates > 0, qt.Equals, !earlier)
 		qt.Check(t, follower.MustReadHosts(), qt.Equals, earlier)
-		qt.Check(t, follower.FetchedHostsSince(sentAt), qt.Equals, !earlier)
+		qt.Check(t, follower.FetchedNewerHosts(feed.State{ReadAt: sentAt}), qt.Equals, !earlier)
 		qt.Check(t, follower.HostsReadAt().After(sentAt), qt.Equals, !earlier)
 		qt.Check(t, follower.MustReadStore(), qt.IsFalse)
 	}
--- a/feed/feed.go
+++ b/feed/feed.go
@@ -35,12 +35,11 @@
 
 	mu sync.Mutex
 	// configs holds versions of the configuration, the newest last.
-	configs        []keptConfig
-	replicas       map[string]trackedReplica
-	hosts          []shard.Host
-	sequence       uint64
-	replicasReadAt time.Time
-	hostsReadAt    time.Time
+	configs  []keptConfig
+	replicas map[string]trackedReplica
+	hosts    []shard.Host
+	sequence uint64
+	states   States
 	// configConfirmedAt is when the store last confirmed the configuration, to this
 	// host or to one that told this host.
 	configConfirmedAt time.Time
@@ -106,11 +105,11 @@
 	return feed.sequence + 1
 }
 
-// PutReplicas stores the complete list of replicas. The read of it began at readAt.
-func (feed *Feed) PutReplicas(replicas []roster.Replica, readAt time.Time) {
+// PutReplicas stores the complete list of replicas, which shows a state of the store.
+func (feed *Feed) PutReplicas(replicas []roster.Replica, state State) {
 	feed.mu.Lock()
 	defer feed.mu.Unlock()
-	feed.replicasReadAt = readAt
+	feed.states.Replicas = state
 	next := feed.nextSequence()
 	listed := make(map[string]bool, len(replicas))
 	for _, replica := range replicas {
@@ -148,11 +147,11 @@
 	return a == b
 }
 
-// PutHosts stores the complete list of entry hosts. The read of it began at readAt.
-func (feed *Feed) PutHosts(hosts []shard.Host, readAt time.Time) {
+// PutHosts stores the complete list of entry hosts, which shows a state of the store.
+func (feed *Feed) PutHosts(hosts []shard.Host, state State) {
 	feed.mu.Lock()
 	defer feed.mu.Unlock()
-	feed.hostsReadAt = readAt
+	feed.states.Hosts = state
 	next := feed.nextSequence()
 	if !slices.Equal(feed.hosts, hosts) {
 		feed.hosts = hosts
@@ -160,12 +159,11 @@
 	}
 }
 
-// ListsReadAt returns when this host itself began to read the list that it read
-// longer ago, the zero time if it never read one of them.
-func (feed *Feed) ListsReadAt() time.Time {
+// States returns the states that this host's own lists show.
+func (feed *Feed) States() States {
 	feed.mu.Lock()
 	defer feed.mu.Unlock()
-	return feed.listsReadAt()
+	return feed.states
 }
 
 // neverRead is the age of lists that were never read.
@@ -176,7 +174,9 @@
 func (feed *Feed) Answer(fetch *message.FeedFetch) *message.FeedNews {
 	feed.mu.Lock()
 	defer feed.mu.Unlock()
-	reply := &message.FeedNews{Source: feed.Name, Sequence: feed.sequence, AgeMicros: feed.age(feed.listsReadAt()), ConfigAgeMicros: feed.age(feed.configConfirmedAt)}
+	reply := &message.FeedNews{Source: feed.Name, Sequence: feed.sequence, AgeMicros: feed.age(feed.states.ReadAt()), ConfigAgeMicros: feed.age(feed.configConfirmedAt)}
+	reply.ReplicasEra, reply.ReplicasRevision = feed.states.Replicas.Era, feed.states.Replicas.Revision
+	reply.HostsEra, reply.HostsRevision = feed.states.Hosts.Era, feed.states.Hosts.Revision
 	if reply.ConfigAgeMicros != neverRead {
 		reply.Evacuated, reply.EvacuationsKnown = feed.Evacuations.Domains()
 	}
@@ -230,13 +230,6 @@
 	return encoded
 }
 
-func (feed *Feed) listsReadAt() time.Time {
-	if feed.hostsReadAt.Before(feed.replicasReadAt) {
-		return feed.hostsReadAt
-	}
-	return feed.replicasReadAt
-}
-
 // age returns the time since a read in microseconds, neverRead for the zero
 // time.
 func (feed *Feed) age(readAt time.Time) int64 {
--- a/feed/feed_test.go
+++ b/feed/feed_test.go
@@ -55,8 +55,8 @@
 	group.feeds[name].PutConfig(7, []byte("config"))
 	group.feeds[name].Evacuations.Confirm(group.evacuated, group.now)
 	group.feeds[name].ConfirmConfig(group.now)
-	group.feeds[name].PutReplicas(replicas, group.now)
-	group.feeds[name].PutHosts(hosts, group.now)
+	group.feeds[name].PutReplicas(replicas, feed.State{ReadAt: group.now})
+	group.feeds[name].PutHosts(hosts, feed.State{ReadAt: group.now})
 }
 
 // received counts a follower's callbacks and holds the last list of replicas.
@@ -78,7 +78,7 @@
 		Now:         func() time.Time { return group.now },
 		Hosts:       func() []shard.Host { return hosts },
 		Version:     func() uint64 { return version },
-		ListsReadAt: group.feeds[name].ListsReadAt,
+		OwnStates:   group.feeds[name].States,
 		Evacuations: group.feeds[name].Evacuations,
 		SendFetch: func(_ context.Context, host shard.Host, fetch *message.FeedFetch) (*message.FeedNews, error) {
 			group.fetches++
@@ -219,8 +219,8 @@
 	reader, _, name := group.roles()
 	group.readStore(reader)
 	group.now = group.now.Add(5 * time.Second)
-	group.feeds[reader].PutReplicas(nil, group.now)
-	group.feeds[reader].PutHosts(hosts, group.now)
+	group.feeds[reader].PutReplicas(nil, feed.State{ReadAt: group.now})
+	group.feeds[reader].PutHosts(hosts, feed.State{ReadAt: group.now})
 	follower, received := group.follower(name)
 	qt.Assert(t, follower.FetchOnce(context.Background()), qt.IsNotNil)
 	qt.Assert(t, received.configs, qt.Equals, 0)
@@ -351,8 +351,8 @@
 		group.feeds[name].PutConfig(7, []byte("config"))
 		group.down[reader] = true
 		group.now = group.now.Add(age)
-		group.feeds[name].PutReplicas(nil, group.now)
-		group.feeds[name].PutHosts(hosts, group.now)
+		group.feeds[name].PutReplicas(nil, feed.State{ReadAt: group.now})
+		group.feeds[name].PutHosts(hosts, feed.State{ReadAt: group.now})
 		other, received := group.follower(last)
 		err := other.FetchOnce(context.Background())
 		qt.Assert(t, err == nil, qt.Equals, accepted, qt.Commentf("%v", err))
@@ -387,8 +387,8 @@
 	follower, received := group.follower(name)
 	qt.Assert(t, follower.FetchOnce(context.Background()), qt.IsNil)
 	group.now = group.now.Add(100 * time.Millisecond)
-	group.feeds[name].PutReplicas(newReplicas("a"), group.now)
-	group.feeds[name].PutHosts(hosts, group.now)
+	group.feeds[name].PutReplicas(newReplicas("a"), feed.State{ReadAt: group.now})
+	group.feeds[name].PutHosts(hosts, feed.State{ReadAt: group.now})
 	received.replicas = newReplicas("a")
 	group.now = group.now.Add(100 * time.Millisecond)
 	group.readStore(reader, newReplicas("a", "b")...)
--- a/feed/follower.go
+++ b/feed/follower.go
@@ -75,9 +75,9 @@
 	ApplyConfig    func(config []byte) error
 	UpdateReplicas func(replicas []roster.Replica)
 	UpdateHosts    func(hosts []shard.Host)
-	// ListsReadAt returns when this host itself last read the lists, the zero time
-	// if it never did.
-	ListsReadAt func() time.Time
+	// OwnStates returns the states of the store that the lists show that this host
+	// itself has read.
+	OwnStates func() States
 	// ConfigRecent reports whether the configuration was confirmed recently, to this
 	// host or to one that told this host.
 	ConfigRecent func() bool
@@ -98,10 +98,11 @@
 	hosts    []shard.Host
 	source   string
 	sequence uint64
-	// fetchedReadAt is when the fetched lists were read, publishedAt when they were
+	// fetched holds the states that the fetched lists show.
+	fetched atomic.Pointer[States]
+	// publishedOver are the states of this host's own lists when the fetched ones were
 	// last passed on.
-	fetchedReadAt atomic.Pointer[time.Time]
-	publishedAt   time.Time
+	publishedOver States
 	cached        atomic.Pointer[ranking]
 	// lastSource is the host of the last successful fetch.
 	lastSource shard.Host
@@ -142,17 +143,18 @@
 	return follower.earlierSource.Load() || follower.MustReadStore()
 }
 
-// FetchedHostsSince reports whether a list of hosts was fetched that was read after a
-// time.
-func (follower *Follower) FetchedHostsSince(readAt time.Time) bool {
-	return !follower.earlierSource.Load() && follower.FetchedSince(readAt)
+// FetchedNewerHosts reports whether a list of hosts was fetched that shows a later state
+// than a given one.
+func (follower *Follower) FetchedNewerHosts(state State) bool {
+	fetched := follower.fetched.Load()
+	return fetched != nil && !follower.earlierSource.Load() && state.OlderThan(fetched.Hosts)
 }
 
 // HostsReadAt returns a time at which the list of hosts that this host has was still
 // valid.
 func (follower *Follower) HostsReadAt() time.Time {
 	if follower.earlierSource.Load() {
-		return follower.ListsReadAt()
+		return follower.OwnStates().ReadAt()
 	}
 	return follower.ReadAt()
 }
@@ -162,23 +164,30 @@
 	return slices.ContainsFunc(follower.ranking().candidates, func(host shard.Host) bool { return host.Name == follower.Name })
 }
 
-// FetchedSince reports whether lists were fetched that another host began to read
-// after a time.
-func (follower *Follower) FetchedSince(readAt time.Time) bool {
-	fetched := follower.fetchedReadAt.Load()
-	return fetched != nil && fetched.After(readAt)
+// FetchedNewerReplicas reports whether a list of replicas was fetched that shows a later
+// state than a given one.
+func (follower *Follower) FetchedNewerReplicas(state State) bool {
+	fetched := follower.fetched.Load()
+	return fetched != nil && state.OlderThan(fetched.Replicas)
 }
 
-// ReadAt returns when this host's lists were read from the store, by itself or by
-// the host that it fetched them from.
+// ReadAt returns the time as of which this host's lists hold each change, whether it
+// read them itself or fetched them.
 func (follower *Follower) ReadAt() time.Time {
-	readAt := follower.ListsReadAt()
-	if fetched := follower.fetchedReadAt.Load(); fetched != nil && fetched.After(readAt) {
-		return *fetched
+	readAt := follower.OwnStates().ReadAt()
+	if fetched := follower.fetched.Load(); fetched != nil && fetched.ReadAt().After(readAt) {
+		return fetched.ReadAt()
 	}
 	return readAt
 }
 
+// ListAge returns the time since the state of the store that this host's lists show, and
+// whether it has any.
+func (follower *Follower) ListAge() (time.Duration, bool) {
+	readAt := follower.ReadAt()
+	return follower.Now().Sub(readAt), !readAt.IsZero()
+}
+
 // FetchOnce fetches from the first host that returns recent lists: the candidates
 // of this failure domain, or else readers of others, since the store may reject the
 // calls of a whole domain and serve others. The reader itself fetches only while
@@ -213,7 +222,7 @@
 
 // readsSucceed reports whether this host itself has read all data recently.
 func (follower *Follower) readsSucceed() bool {
-	return follower.ConfigRecent() && follower.Now().Sub(follower.ListsReadAt()) <= maxListAge
+	return follower.ConfigRecent() && follower.Now().Sub(follower.OwnStates().ReadAt()) <= maxListAge
 }
 
 // needsRemote reports whether this host fetches from other failure domains when its
@@ -300,15 +309,19 @@
 		return fmt.Errorf("host %s has no recent lists, age %v", reply.Source, listAge+elapsed)
 	}
 	readAt := sentAt.Add(-listAge)
-	if readAt.Before(follower.ReadAt()) {
+	states := States{
+		Replicas: State{ReadAt: readAt, Era: reply.ReplicasEra, Revision: reply.ReplicasRevision},
+		Hosts:    State{ReadAt: readAt, Era: reply.HostsEra, Revision: reply.HostsRevision},
+	}
+	if follower.hasNewer(states) {
 		// Older lists may hold a replica that left.
 		return nil
 	}
-	follower.fetchedReadAt.Store(&readAt)
+	follower.fetched.Store(&states)
 	switch {
 	case !reply.Unchanged:
 		follower.apply(reply)
-	case follower.ListsReadAt().After(follower.publishedAt):
+	case follower.OwnStates() != follower.publishedOver:
 		// This host has replaced the fetched lists by what it read itself.
 		follower.publish()
 	default:
@@ -317,6 +330,16 @@
 	return nil
 }
 
+// hasNewer reports whether this host has a list of replicas or hosts that shows a later
+// state than those of a reply.
+func (follower *Follower) hasNewer(reply States) bool {
+	own := follower.OwnStates()
+	if reply.Replicas.OlderThan(own.Replicas) || follower.FetchedNewerReplicas(reply.Replicas) {
+		return true
+	}
+	return !follower.earlierSource.Load() && (reply.Hosts.OlderThan(own.Hosts) || follower.FetchedNewerHosts(reply.Hosts))
+}
+
 // receiveConfig adds the part of a configuration in a reply, and applies the
 // configuration once it is complete.
 func (follower *Follower) receiveConfig(reply *message.FeedNews) error {
@@ -357,7 +380,7 @@
 
 // publish passes on the complete lists as they were fetched.
 func (follower *Follower) publish() {
-	follower.publishedAt = follower.Now()
+	follower.publishedOver = follower.OwnStates()
 	follower.UpdateReplicas(slices.Collect(maps.Values(follower.replicas)))
 	if !follower.earlierSource.Load() {
 		follower.UpdateHosts(follower.hosts)
--- a/message/message.go
+++ b/message/message.go
@@ -132,6 +132,12 @@
 	// Set when Hosts contains the list of entry hosts.
 	HostsChanged bool `json:"HostsChanged"`
 
+	// Era of the store in which the list of hosts was read, 0 if it is not known.
+	HostsEra uint64 `json:"HostsEra"`
+
+	// Revision of the store that the list of hosts shows, 0 if it is not known.
+	HostsRevision uint64 `json:"HostsRevision"`
+
 	// Position of Config in that configuration, in bytes.
 	PartOffset int64 `json:"PartOffset"`
 
@@ -142,6 +148,12 @@
 	// if Whole is set.
 	Replicas []ListedReplica `json:"Replicas"`
 
+	// Era of the store in which the list of replicas was read, 0 if it is not known.
+	ReplicasEra uint64 `json:"ReplicasEra"`
+
+	// Revision of the store that the list of replicas shows, 0 if it is not known.
+	ReplicasRevision uint64 `json:"ReplicasRevision"`
+
 	// Sequence number of the lists, which increases when they change.
 	Sequence uint64 `json:"Sequence"`
 
--- a/message/message_gen.go
+++ b/message/message_gen.go
@@ -582,9 +582,9 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *FeedNews) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 18
+	// map header, size 22
 	// string "AgeMicros"
-	o = append(o, 0xde, 0x0, 0x12, 0xa9, 0x41, 0x67, 0x65, 0x4d, 0x69, 0x63, 0x72, 0x6f, 0x73)
+	o = append(o, 0xde, 0x0, 0x16, 0xa9, 0x41, 0x67, 0x65, 0x4d, 0x69, 0x63, 0x72, 0x6f, 0x73)
 	o = msgp.AppendInt64(o, z.AgeMicros)
 	// string "Config"
 	o = append(o, 0xa6, 0x43, 0x6f, 0x6e, 0x66, 0x69, 0x67)
@@ -623,6 +623,12 @@
 	// string "HostsChanged"
 	o = append(o, 0xac, 0x48, 0x6f, 0x73, 0x74, 0x73, 0x43, 0x68, 0x61, 0x6e, 0x67, 0x65, 0x64)
 	o = msgp.AppendBool(o, z.HostsChanged)
+	// string "HostsEra"
+	o = append(o, 0xa8, 0x48, 0x6f, 0x73, 0x74, 0x73, 0x45, 0x72, 0x61)
+	o = msgp.AppendUint64(o, z.HostsEra)
+	// string "HostsRevision"
+	o = append(o, 0xad, 0x48, 0x6f, 0x73, 0x74, 0x73, 0x52, 0x65, 0x76, 0x69, 0x73, 0x69, 0x6f, 0x6e)
+	o = msgp.AppendUint64(o, z.HostsRevision)
 	// string "PartOffset"
 	o = append(o, 0xaa, 0x50, 0x61, 0x72, 0x74, 0x4f, 0x66, 0x66, 0x73, 0x65, 0x74)
 	o = msgp.AppendInt64(o, z.PartOffset)
@@ -639,6 +645,12 @@
 			return
 		}
 	}
+	// string "ReplicasEra"
+	o = append(o, 0xab, 0x52, 0x65, 0x70, 0x6c, 0x69, 0x63, 0x61, 0x73, 0x45, 0x72, 0x61)
+	o = msgp.AppendUint64(o, z.ReplicasEra)
+	// string "ReplicasRevision"
+	o = append(o, 0xb0, 0x52, 0x65, 0x70, 0x6c, 0x69, 0x63, 0x61, 0x73, 0x52, 0x65, 0x76, 0x69, 0x73, 0x69, 0x6f, 0x6e)
+	o = msgp.AppendUint64(o, z.ReplicasRevision)
 	// string "Sequence"
 	o = append(o, 0xa8, 0x53, 0x65, 0x71, 0x75, 0x65, 0x6e, 0x63, 0x65)
 	o = msgp.AppendUint64(o, z.Sequence)
@@ -778,6 +790,18 @@
 				err = msgp.WrapError(err, "HostsChanged")
 				return
 			}
+		case "HostsEra":
+			z.HostsEra, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "HostsEra")
+				return
+			}
+		case "HostsRevision":
+			z.HostsRevision, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "HostsRevision")
+				return
+			}
 		case "PartOffset":
 			z.PartOffset, bts, err = msgp.ReadInt64Bytes(bts)
 			if err != nil {
@@ -809,6 +833,18 @@
 					return
 				}
 			}
+		case "ReplicasEra":
+			z.ReplicasEra, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "ReplicasEra")
+				return
+			}
+		case "ReplicasRevision":
+			z.ReplicasRevision, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "ReplicasRevision")
+				return
+			}
 		case "Sequence":
 			z.Sequence, bts, err = msgp.ReadUint64Bytes(bts)
 			if err != nil {
@@ -884,11 +920,11 @@
 	for za0003 := range z.Hosts {
 		s += z.Hosts[za0003].Msgsize()
 	}
-	s += 13 + msgp.BoolSize + 11 + msgp.Int64Size + 12 + msgp.Uint64Size + 9 + msgp.ArrayHeaderSize
+	s += 13 + msgp.BoolSize + 9 + msgp.Uint64Size + 14 + msgp.Uint64Size + 11 + msgp.Int64Size + 12 + msgp.Uint64Size + 9 + msgp.ArrayHeaderSize
 	for za0004 := range z.Replicas {
 		s += z.Replicas[za0004].Msgsize()
 	}
-	s += 9 + msgp.Uint64Size + 7 + msgp.StringPrefixSize + len(z.Source) + 8 + msgp.ArrayHeaderSize
+	s += 12 + msgp.Uint64Size + 17 + msgp.Uint64Size + 9 + msgp.Uint64Size + 7 + msgp.StringPrefixSize + len(z.Source) + 8 + msgp.ArrayHeaderSize
 	for za0005 := range z.Streaks {
 		s += z.Streaks[za0005].Msgsize()
 	}
--- a/metric/configuration.go
+++ b/metric/configuration.go
@@ -31,3 +31,22 @@
 	configurationOnce.Do(func() { expvar.Publish("Configuration", configuration) })
 	configuration.Set("Evacuated", expvar.Func(func() any { return domains() }))
 }
+
+// PublishLists publishes the milliseconds since the state of the store that the lists
+// of replicas and hosts show, -1 if they were never read. A later call replaces the
+// function of an earlier one.
+func PublishLists(age func() (time.Duration, bool)) {
+	configurationOnce.Do(func() { expvar.Publish("Configuration", configuration) })
+	configuration.Set("ListAgeMillis", expvar.Func(func() any {
+		if age, known := age(); known {
+			return age.Milliseconds()
+		}
+		return -1
+	}))
+}
+
+// CountStaleRead counts a read of a list that was repeated as a consistent one, since it
+// may have shown too old a state.
+func CountStaleRead() {
+	configuration.Add("StaleReads", 1)
+}
