dispatch, quarantine: hold requests under whose content replicas end

Cause: a lost connection is retried on the next replica, hedged, and the caller's own retry goes to all shards again through another host. Logged contents show that one target is sent 71 times and all others once or twice, so the content tells them apart, but only after it has come back: requests that were under way lose their connections as well.

Change: once three replicas were lost under a content it is suspect, and the request is neither retried nor hedged. A suspect request goes to one replica, a trial, and to the others when that has answered. If the trial is lost, requests of that content are refused as not run, for 30 s at first. Hosts tell each other before the caller has its answer. The workspace is part of the content; at most 1,024 contents are kept.

TestTrial, TestOneTrialAtATime, TestTrialAndBundles and TestNoRetryAfterLostReplicas fail without it.

--- a/dispatch/attempt.go
+++ b/dispatch/attempt.go
@@ -215,10 +215,14 @@
 	if sentAttempt.reply.Response != nil && run.isRemote(sentAttempt.replica) {
 		run.recordRemoteReply()
 	}
+	failure := sentAttempt.reply.Failure
+	if isLost(failure) {
+		run.lost++
+	}
+	defer run.recordContent(sentAttempt)
 	if part.ended() {
 		return
 	}
-	failure := sentAttempt.reply.Failure
 	if failure == nil {
 		part.reply = sentAttempt.reply
 		run.answered++
@@ -272,6 +276,9 @@
 func (run *run) retry(index int, failure *verdict.Failure) bool {
 	part := run.parts[index]
 	part.notRetried = run.retryObstacle(part, failure)
+	if run.endsReplicas(part, failure) {
+		part.notRetried = "replicas were lost under the request"
+	}
 	if part.notRetried != "" {
 		return false
 	}
@@ -350,7 +357,7 @@
 			continue
 		}
 		part.hedgeAt = time.Time{}
-		if part.mayHaveRun >= run.request.Route.MaxAttempts || len(run.candidates(part)) == 0 {
+		if run.holdsParts || run.losesReplicas() || part.mayHaveRun >= run.request.Route.MaxAttempts || len(run.candidates(part)) == 0 {
 			continue
 		}
 		if run.takeExtra(part.service) != "" {
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -14,6 +14,7 @@
 	"fescuehall/exchange"
 	"fescuehall/logbook"
 	"fescuehall/metric"
+	"fescuehall/quarantine"
 	"fescuehall/rank"
 	"fescuehall/reach"
 	"fescuehall/replica"
@@ -211,6 +212,9 @@
 	Suspects *suspect.Tracker
 	// Limits limits the requests to single replicas; nil if there are no limits.
 	Limits *ReplicaLimits
+	// Contents holds the contents under which replicas were lost; nil if they are not
+	// recorded.
+	Contents *quarantine.Contents
 	// Random returns a number in [0, 1).
 	Random func() float64
 	// Event logs a decision.
@@ -344,6 +348,10 @@
 	if refusal := run.refuseUnlessServable(); refusal != nil {
 		return refusal
 	}
+	contentState, delay := run.admitContent()
+	if contentState == quarantine.Held {
+		return run.refuseHeld(delay)
+	}
 	throttle := dispatcher.throttle(run.parts[0].service)
 	if request.Workspace != nil {
 		throttle.RecordArrival(request.Workspace.Name)
@@ -355,10 +363,12 @@
 		}
 		defer dispatcher.trackTarget(throttle, run)()
 	}
-	if request.Route.Gathers() && !request.fromPeer() && dispatcher.Plan != nil {
-		run.startBundles()
+	switch {
+	case contentState == quarantine.Clear:
+		run.start()
+	case !run.startTrial():
+		return run.refuseHeld(quarantine.TrialDelay)
 	}
-	run.startParts()
 	callerLeft := run.wait(ctx)
 	if !callerLeft && request.Route.Gathers() {
 		run.checkRemoteReplies()
@@ -367,5 +377,6 @@
 	run.inTime = callerLeft || answer.Failure == nil && run.beforeTarget(time.Now())
 	run.close(callerLeft)
 	run.log(answer, callerLeft)
+	run.awaitShared()
 	return answer
 }
--- a/frame/frame.go
+++ b/frame/frame.go
@@ -36,7 +36,9 @@
 	ProbeReply
 	AllowanceAsk
 	AllowanceGrant
-	lastType = AllowanceGrant
+	ContentNews
+	ContentSeen
+	lastType = ContentSeen
 )
 
 // Frame is a message. A reply has the Correlation of its request, which is
