dispatch: record lost replicas of requests that were answered meanwhile

A request whose parts fail is answered as soon as too few are left. Losses that became known after that were not recorded, so that its content was not suspect, and its repeat went to all shards again: in one of five runs of TestRequestThatEndsReplicas, which sends it over real connections, ten connections were lost where six are expected.

Losses are now recorded when the attempt ends.

--- a/dispatch/attempt.go
+++ b/dispatch/attempt.go
@@ -81,6 +81,9 @@
 	askUntil time.Time
 	// extra is set for a hedge or a retry.
 	extra bool
+	// shared is closed when the other hosts know what the attempt has shown about the
+	// request's content, nil if there is nothing to tell.
+	shared chan struct{}
 }
 
 // startAttempt sends the next attempt of a part. It returns false when no
@@ -163,6 +166,7 @@
 		// hedge delay would be estimated from fast attempts only.
 		run.dispatcher.hedgeDelay(run.request.Route).Add(latency)
 	}
+	run.recordLost(sentAttempt)
 	run.completed <- sentAttempt
 }
 
@@ -219,10 +223,13 @@
 	if isLost(failure) {
 		run.lost++
 	}
-	defer run.recordContent(sentAttempt)
+	if sentAttempt.shared != nil {
+		run.shared = append(run.shared, sentAttempt.shared)
+	}
 	if part.ended() {
 		return
 	}
+	defer run.checkTrial(part, failure)
 	if failure == nil {
 		part.reply = sentAttempt.reply
 		run.answered++
--- a/dispatch/trial.go
+++ b/dispatch/trial.go
@@ -75,17 +75,20 @@
 	return run.losesReplicas() || part == run.trial && isLost(failure)
 }
 
-// recordContent records what the end of an attempt shows about the content of the
-// request, and tells the other hosts.
-func (run *run) recordContent(sentAttempt *sentAttempt) {
+// recordLost records an attempt whose replica was lost, whether or not the request has
+// been answered meanwhile.
+func (run *run) recordLost(sentAttempt *sentAttempt) {
 	contents := run.dispatcher.Contents
-	if contents == nil {
+	if contents == nil || !isLost(sentAttempt.reply.Failure) {
 		return
 	}
-	part, failure := run.parts[sentAttempt.index], sentAttempt.reply.Failure
-	if isLost(failure) && contents.RecordLost(run.request.contentID(), sentAttempt.replica.ID) {
-		run.share(quarantine.Suspect)
+	if contents.RecordLost(run.request.contentID(), sentAttempt.replica.ID) {
+		sentAttempt.shared = run.share(quarantine.Suspect)
 	}
+}
+
+// checkTrial handles the end of an attempt of a part that other parts wait for.
+func (run *run) checkTrial(part *part, failure *verdict.Failure) {
 	if run.holdsParts && part == run.trial && part.ended() {
 		run.endTrial(failure)
 	}
@@ -98,7 +101,7 @@
 	answered := failure == nil || failure.Verdict == verdict.Ran
 	if answered || isLost(failure) {
 		if state, changed := run.dispatcher.Contents.RecordTrial(run.request.contentID(), isLost(failure)); changed {
-			run.share(state)
+			run.shared = append(run.shared, run.share(state))
 		}
 	}
 	switch {
@@ -115,19 +118,18 @@
 	}
 }
 
-// share tells the other hosts of the state of the request's content.
-func (run *run) share(state quarantine.State) {
-	contents := run.dispatcher.Contents
-	if contents.Share == nil {
-		return
-	}
+// share tells the other hosts of the state of the request's content. The channel is
+// closed when they know.
+func (run *run) share(state quarantine.State) chan struct{} {
 	done := make(chan struct{})
-	id := run.request.contentID()
+	share, id := run.dispatcher.Contents.Share, run.request.contentID()
 	go func() {
 		defer close(done)
-		contents.Share(id, state)
+		if share != nil {
+			share(id, state)
+		}
 	}()
-	run.shared = append(run.shared, done)
+	return done
 }
 
 // awaitShared waits until other hosts know what the request has shown, for shareTime at
