dispatch: withdraw the holding of contents under which replicas end

Cause: connections that are reset while their servers live count as lost replicas. In a cut of that kind the trial of a harmless content is lost as well, the content is held, and the host sends no gathered request that would show that it is isolated.

--- a/dispatch/attempt.go
+++ b/dispatch/attempt.go
@@ -81,9 +81,6 @@
 	askUntil time.Time
 	// extra is set for a hedge or a retry.
 	extra bool
-	// shared is closed when the other hosts know what the attempt has shown about the
-	// request's content, nil if there is nothing to tell.
-	shared chan struct{}
 }
 
 // startAttempt sends the next attempt of a part. It returns false when no
@@ -166,7 +163,6 @@
 		// hedge delay would be estimated from fast attempts only.
 		run.dispatcher.hedgeDelay(run.request.Route).Add(latency)
 	}
-	run.recordLost(sentAttempt)
 	run.completed <- sentAttempt
 }
 
@@ -219,17 +215,10 @@
 	if sentAttempt.reply.Response != nil && run.isRemote(sentAttempt.replica) {
 		run.recordRemoteReply()
 	}
-	failure := sentAttempt.reply.Failure
-	if isLost(failure) {
-		run.lost++
-	}
-	if sentAttempt.shared != nil {
-		run.shared = append(run.shared, sentAttempt.shared)
-	}
 	if part.ended() {
 		return
 	}
-	defer run.checkTrial(part, failure)
+	failure := sentAttempt.reply.Failure
 	if failure == nil {
 		part.reply = sentAttempt.reply
 		run.answered++
@@ -283,9 +272,6 @@
 func (run *run) retry(index int, failure *verdict.Failure) bool {
 	part := run.parts[index]
 	part.notRetried = run.retryObstacle(part, failure)
-	if run.endsReplicas(part, failure) {
-		part.notRetried = "replicas were lost under the request"
-	}
 	if part.notRetried != "" {
 		return false
 	}
@@ -364,7 +350,7 @@
 			continue
 		}
 		part.hedgeAt = time.Time{}
-		if run.holdsParts || run.losesReplicas() || part.mayHaveRun >= run.request.Route.MaxAttempts || len(run.candidates(part)) == 0 {
+		if part.mayHaveRun >= run.request.Route.MaxAttempts || len(run.candidates(part)) == 0 {
 			continue
 		}
 		if run.takeExtra(part.service) != "" {
--- a/dispatch/bundle.go
+++ b/dispatch/bundle.go
@@ -71,10 +71,6 @@
 // startBundles sends the planned bundles to their peers.
 func (run *run) startBundles() {
 	for _, bundle := range run.dispatcher.Plan(run.request, run.allows) {
-		bundle.Shards = run.withoutTrials(bundle.Shards)
-		if len(bundle.Shards) == 0 {
-			continue
-		}
 		sentBundle := &sentBundle{bundle: bundle, started: time.Now()}
 		for _, part := range run.parts {
 			if slices.Contains(bundle.Shards, part.service) {
@@ -194,9 +190,6 @@
 // part wait for the end of a pause. It returns false when none may be sent.
 func (run *run) requestDirectly(index int, sentBundle *sentBundle) bool {
 	part := run.parts[index]
-	if run.losesReplicas() {
-		return false
-	}
 	budget := run.dispatcher.budget(part.service)
 	if sentBundle.failure.Verdict == verdict.NotRun {
 		budget.RecordFirst(1)
--- a/dispatch/deadly_test.go
+++ b/dispatch/deadly_test.go
@@ -7,7 +7,6 @@
 
 	qt "github.com/frankban/quicktest"
 
-	"fescuehall/quarantine"
 	"fescuehall/verdict"
 )
 
@@ -22,7 +21,6 @@
 	synctest.Test(t, func(t *testing.T) {
 		fakeReplicas := &fakeReplicas{extraReplicas: 2}
 		dispatcher := newDispatcher(fakeReplicas)
-		dispatcher.Contents = &quarantine.Contents{Now: time.Now}
 		ended, sentOn := 0, 0
 		fakeReplicas.respond = func(string, int) (time.Duration, *verdict.Failure) {
 			fakeReplicas.mu.Lock()
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -14,7 +14,6 @@
 	"fescuehall/exchange"
 	"fescuehall/logbook"
 	"fescuehall/metric"
-	"fescuehall/quarantine"
 	"fescuehall/rank"
 	"fescuehall/reach"
 	"fescuehall/replica"
@@ -212,9 +211,6 @@
 	Suspects *suspect.Tracker
 	// Limits limits the requests to single replicas; nil if there are no limits.
 	Limits *ReplicaLimits
-	// Contents holds the contents under which replicas were lost; nil if they are not
-	// recorded.
-	Contents *quarantine.Contents
 	// Random returns a number in [0, 1).
 	Random func() float64
 	// Event logs a decision.
@@ -348,10 +344,6 @@
 	if refusal := run.refuseUnlessServable(); refusal != nil {
 		return refusal
 	}
-	contentState, delay := run.admitContent()
-	if contentState == quarantine.Held {
-		return run.refuseHeld(delay)
-	}
 	throttle := dispatcher.throttle(run.parts[0].service)
 	if request.Workspace != nil {
 		throttle.RecordArrival(request.Workspace.Name)
@@ -363,12 +355,10 @@
 		}
 		defer dispatcher.trackTarget(throttle, run)()
 	}
-	switch {
-	case contentState == quarantine.Clear:
-		run.start()
-	case !run.startTrial():
-		return run.refuseHeld(quarantine.TrialDelay)
+	if request.Route.Gathers() && !request.fromPeer() && dispatcher.Plan != nil {
+		run.startBundles()
 	}
+	run.startParts()
 	callerLeft := run.wait(ctx)
 	if !callerLeft && request.Route.Gathers() {
 		run.checkRemoteReplies()
@@ -377,6 +367,5 @@
 	run.inTime = callerLeft || answer.Failure == nil && run.beforeTarget(time.Now())
 	run.close(callerLeft)
 	run.log(answer, callerLeft)
-	run.awaitShared()
 	return answer
 }
--- a/dispatch/pause.go
+++ b/dispatch/pause.go
@@ -47,10 +47,6 @@
 			continue
 		}
 		part.resumeAt = time.Time{}
-		if run.losesReplicas() {
-			run.endUnanswered(part)
-			continue
-		}
 		run.startPart(index)
 	}
 }
--- a/dispatch/result.go
+++ b/dispatch/result.go
@@ -39,16 +39,6 @@
 	return overloadAnswer()
 }
 
-// refuseHeld answers a request whose content is held.
-func (run *run) refuseHeld(delay time.Duration) *Answer {
-	run.cancel()
-	run.observe("held", time.Now())
-	fields := run.fields()
-	fields["content"] = run.request.contentID().String()
-	run.dispatcher.Event("held", fields)
-	return &Answer{Failure: verdict.New(verdict.NotRun, verdict.ContentHeld, "replicas were lost under requests of this content"), RetryAfter: delay}
-}
-
 func overloadAnswer() *Answer {
 	return &Answer{Failure: verdict.New(verdict.NotRun, verdict.Overload, "too few requests are answered in time"), RetryAfter: overloadRetryAfter}
 }
--- a/dispatch/run.go
+++ b/dispatch/run.go
@@ -66,15 +66,6 @@
 	inFlight int
 	hedges   int
 	retries  int
-	// trial is the part that is sent before the others, nil if all are sent at once.
-	// holdsParts is set while the others wait for it.
-	trial      *part
-	holdsParts bool
-	// lost counts the connections to replicas that were lost with the request.
-	lost int
-	// shared holds a channel for each state of the content that other hosts are told,
-	// which is closed when they know.
-	shared []chan struct{}
 	// partial is set when partialAt led to the answer or the first report.
 	partial bool
 	// stopped is set when this host stops before all parts have ended.
@@ -120,18 +111,10 @@
 	return run.partial && now.Before(run.partialAt.Add(timerSlack)) || now.Before(run.request.Received.Add(run.request.AnswerWithin()))
 }
 
-// start sends the request to replicas and peers.
-func (run *run) start() {
-	if run.request.Route.Gathers() && !run.request.fromPeer() && run.dispatcher.Plan != nil {
-		run.startBundles()
-	}
-	run.startParts()
-}
-
 // startParts sends the first attempt of each part that is not in a bundle.
 func (run *run) startParts() {
 	for index, part := range run.parts {
-		if part.sentBundle != nil || len(part.attempts) > 0 {
+		if part.sentBundle != nil {
 			continue
 		}
 		run.dispatcher.budget(part.service).RecordFirst(1)
--- a/feed/feed.go
+++ b/feed/feed.go
@@ -225,7 +225,7 @@
 func encodeHosts(hosts []shard.Host) []message.ListedHost {
 	encoded := make([]message.ListedHost, len(hosts))
 	for i, host := range hosts {
-		encoded[i] = message.ListedHost{Name: host.Name, Address: host.Address, FailureDomain: host.FailureDomain, Cores: host.Cores, KeepsAllowances: host.KeepsAllowances, LearnsContents: host.LearnsContents}
+		encoded[i] = message.ListedHost{Name: host.Name, Address: host.Address, FailureDomain: host.FailureDomain, Cores: host.Cores, KeepsAllowances: host.KeepsAllowances}
 	}
 	return encoded
 }
--- a/feed/follower.go
+++ b/feed/follower.go
@@ -371,7 +371,7 @@
 	if reply.HostsChanged {
 		follower.hosts = make([]shard.Host, len(reply.Hosts))
 		for i, encoded := range reply.Hosts {
-			follower.hosts[i] = shard.Host{Name: encoded.Name, Address: encoded.Address, FailureDomain: encoded.FailureDomain, Cores: encoded.Cores, KeepsAllowances: encoded.KeepsAllowances, LearnsContents: encoded.LearnsContents}
+			follower.hosts[i] = shard.Host{Name: encoded.Name, Address: encoded.Address, FailureDomain: encoded.FailureDomain, Cores: encoded.Cores, KeepsAllowances: encoded.KeepsAllowances}
 		}
 	}
 	follower.source, follower.sequence = reply.Source, reply.Sequence
--- a/frame/frame.go
+++ b/frame/frame.go
@@ -36,9 +36,7 @@
 	ProbeReply
 	AllowanceAsk
 	AllowanceGrant
-	ContentNews
-	ContentSeen
-	lastType = ContentSeen
+	lastType = AllowanceGrant
 )
 
 // Frame is a message. A reply has the Correlation of its request, which is
--- a/message/message.go
+++ b/message/message.go
@@ -71,22 +71,6 @@
 	Have uint64 `json:"Have"`
 }
 
-// ContentNews tells another host how to treat requests of a content, since
-// replicas were lost under it or answered it.
-type ContentNews struct {
-	// Hash of the content, in hexadecimal form.
-	ID string `json:"ID"`
-
-	// 0 for clear, 1 for suspect, 2 for held.
-	State int `json:"State"`
-}
-
-// ContentSeen is the reply to a ContentNews.
-type ContentSeen struct {
-	// Hash of the content, in hexadecimal form.
-	ID string `json:"ID"`
-}
-
 // FeedFetch asks a host that reads the store for what has changed in the
 // configuration and in the lists of replicas and hosts.
 type FeedFetch struct {
@@ -316,10 +300,6 @@
 	// connection on which they receive one.
 	KeepsAllowances bool `json:"KeepsAllowances"`
 
-	// Whether the host answers a ContentNews. Hosts of earlier releases close a
-	// connection on which they receive one.
-	LearnsContents bool `json:"LearnsContents"`
-
 	// Host name.
 	Name string `json:"Name"`
 }
--- a/message/message_gen.go
+++ b/message/message_gen.go
@@ -449,119 +449,6 @@
 	return
 }
 
-// MarshalMsg implements msgp.Marshaler
-func (z ContentNews) MarshalMsg(b []byte) (o []byte, err error) {
-	o = msgp.Require(b, z.Msgsize())
-	// map header, size 2
-	// string "ID"
-	o = append(o, 0x82, 0xa2, 0x49, 0x44)
-	o = msgp.AppendString(o, z.ID)
-	// string "State"
-	o = append(o, 0xa5, 0x53, 0x74, 0x61, 0x74, 0x65)
-	o = msgp.AppendInt(o, z.State)
-	return
-}
-
-// UnmarshalMsg implements msgp.Unmarshaler
-func (z *ContentNews) UnmarshalMsg(bts []byte) (o []byte, err error) {
-	var field []byte
-	_ = field
-	var zb0001 uint32
-	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err)
-		return
-	}
-	for zb0001 > 0 {
-		zb0001--
-		field, bts, err = msgp.ReadMapKeyZC(bts)
-		if err != nil {
-			err = msgp.WrapError(err)
-			return
-		}
-		switch msgp.UnsafeString(field) {
-		case "ID":
-			z.ID, bts, err = msgp.ReadStringBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "ID")
-				return
-			}
-		case "State":
-			z.State, bts, err = msgp.ReadIntBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "State")
-				return
-			}
-		default:
-			bts, err = msgp.Skip(bts)
-			if err != nil {
-				err = msgp.WrapError(err)
-				return
-			}
-		}
-	}
-	o = bts
-	return
-}
-
-// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z ContentNews) Msgsize() (s int) {
-	s = 1 + 3 + msgp.StringPrefixSize + len(z.ID) + 6 + msgp.IntSize
-	return
-}
-
-// MarshalMsg implements msgp.Marshaler
-func (z ContentSeen) MarshalMsg(b []byte) (o []byte, err error) {
-	o = msgp.Require(b, z.Msgsize())
-	// map header, size 1
-	// string "ID"
-	o = append(o, 0x81, 0xa2, 0x49, 0x44)
-	o = msgp.AppendString(o, z.ID)
-	return
-}
-
-// UnmarshalMsg implements msgp.Unmarshaler
-func (z *ContentSeen) UnmarshalMsg(bts []byte) (o []byte, err error) {
-	var field []byte
-	_ = field
-	var zb0001 uint32
-	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err)
-		return
-	}
-	for zb0001 > 0 {
-		zb0001--
-		field, bts, err = msgp.ReadMapKeyZC(bts)
-		if err != nil {
-			err = msgp.WrapError(err)
-			return
-		}
-		switch msgp.UnsafeString(field) {
-		case "ID":
-			z.ID, bts, err = msgp.ReadStringBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "ID")
-				return
-			}
-		default:
-			bts, err = msgp.Skip(bts)
-			if err != nil {
-				err = msgp.WrapError(err)
-				return
-			}
-		}
-	}
-	o = bts
-	return
-}
-
-// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z ContentSeen) Msgsize() (s int) {
-	s = 1 + 3 + msgp.StringPrefixSize + len(z.ID)
-	return
-}
-
 // MarshalMsg implements msgp.Marshaler
 func (z *FeedFetch) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
@@ -1675,9 +1562,9 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *ListedHost) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 6
+	// map header, size 5
 	// string "Address"
-	o = append(o, 0x86, 0xa7, 0x41, 0x64, 0x64, 0x72, 0x65, 0x73, 0x73)
+	o = append(o, 0x85, 0xa7, 0x41, 0x64, 0x64, 0x72, 0x65, 0x73, 0x73)
 	o = msgp.AppendString(o, z.Address)
 	// string "Cores"
 	o = append(o, 0xa5, 0x43, 0x6f, 0x72, 0x65, 0x73)
@@ -1688,9 +1575,6 @@
 	// string "KeepsAllowances"
 	o = append(o, 0xaf, 0x4b, 0x65, 0x65, 0x70, 0x73, 0x41, 0x6c, 0x6c, 0x6f, 0x77, 0x61, 0x6e, 0x63, 0x65, 0x73)
 	o = msgp.AppendBool(o, z.KeepsAllowances)
-	// string "LearnsContents"
-	o = append(o, 0xae, 0x4c, 0x65, 0x61, 0x72, 0x6e, 0x73, 0x43, 0x6f, 0x6e, 0x74, 0x65, 0x6e, 0x74, 0x73)
-	o = msgp.AppendBool(o, z.LearnsContents)
 	// string "Name"
 	o = append(o, 0xa4, 0x4e, 0x61, 0x6d, 0x65)
 	o = msgp.AppendString(o, z.Name)
@@ -1739,12 +1623,6 @@
 				err = msgp.WrapError(err, "KeepsAllowances")
 				return
 			}
-		case "LearnsContents":
-			z.LearnsContents, bts, err = msgp.ReadBoolBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "LearnsContents")
-				return
-			}
 		case "Name":
 			z.Name, bts, err = msgp.ReadStringBytes(bts)
 			if err != nil {
@@ -1765,7 +1643,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *ListedHost) Msgsize() (s int) {
-	s = 1 + 8 + msgp.StringPrefixSize + len(z.Address) + 6 + msgp.Float64Size + 14 + msgp.StringPrefixSize + len(z.FailureDomain) + 16 + msgp.BoolSize + 15 + msgp.BoolSize + 5 + msgp.StringPrefixSize + len(z.Name)
+	s = 1 + 8 + msgp.StringPrefixSize + len(z.Address) + 6 + msgp.Float64Size + 14 + msgp.StringPrefixSize + len(z.FailureDomain) + 16 + msgp.BoolSize + 5 + msgp.StringPrefixSize + len(z.Name)
 	return
 }
 
--- a/peer/frames.go
+++ b/peer/frames.go
@@ -26,8 +26,6 @@
 	HandleFeedFetch func(fetch *message.FeedFetch) *message.FeedNews
 	// HandleAllowanceAsk handles an ask for tokens of a limit that all hosts share.
 	HandleAllowanceAsk func(ctx context.Context, ask *message.AllowanceAsk) *message.AllowanceGrant
-	// HandleContentNews handles what another host tells about a content.
-	HandleContentNews func(news *message.ContentNews)
 	// Event logs a frame or reply that is dropped.
 	Event func(event string, fields logbook.Fields)
 	// Memory limits the replies that are being read or handled; nil sets no limit.
@@ -104,12 +102,6 @@
 	return reply, nil
 }
 
-// TellContent tells another host how to treat requests of a content. Errors are
-// *verdict.Failure.
-func (wire *Wire) TellContent(ctx context.Context, to shard.Host, news *message.ContentNews) error {
-	return wire.call(ctx, to, frame.ContentNews, news, &message.ContentSeen{})
-}
-
 // Ended reports whether the latest connection to a host was refused, as by a machine
 // on which its process has ended.
 func (wire *Wire) Ended(host shard.Host) bool {
@@ -161,14 +153,6 @@
 			return
 		}
 		wire.send(reply, frame.AllowanceGrant, wire.HandleAllowanceAsk(ctx, ask))
-	case frame.ContentNews:
-		news := &message.ContentNews{}
-		if _, err := news.UnmarshalMsg(received.Body); err != nil {
-			wire.logDroppedFrame(err)
-			return
-		}
-		wire.HandleContentNews(news)
-		wire.send(reply, frame.ContentSeen, &message.ContentSeen{ID: news.ID})
 	default:
 		wire.logDroppedFrame(fmt.Errorf("unexpected frame type %d", received.Type))
 	}
--- a/peer/peer_test.go
+++ b/peer/peer_test.go
@@ -368,8 +368,6 @@
 			return &message.AllowanceGrant{Tokens: ask.Tokens, NextMicros: int64(len(ask.Limit))}
 		},
 	}
-	var told []message.ContentNews
-	serverWire.HandleContentNews = func(news *message.ContentNews) { told = append(told, *news) }
 	server := &link.Server{Handle: serverWire.Handle}
 	stopped := make(chan error)
 	go func() { stopped <- server.Run(listener) }()
@@ -389,9 +387,6 @@
 	grant, err := clientWire.AskAllowance(t.Context(), to, &message.AllowanceAsk{Limit: "w", Tokens: 2})
 	qt.Assert(t, err, qt.IsNil)
 	qt.Assert(t, *grant, qt.Equals, message.AllowanceGrant{Tokens: 2, NextMicros: 1})
-	news := message.ContentNews{ID: "0a", State: 2}
-	qt.Assert(t, clientWire.TellContent(t.Context(), to, &news), qt.IsNil)
-	qt.Assert(t, told, qt.DeepEquals, []message.ContentNews{news})
 	qt.Assert(t, clientWire.Probe(t.Context(), to), qt.IsNil)
 	qt.Assert(t, clientWire.Ended(to), qt.IsFalse)
 	listener.Close()
--- a/shard/shard.go
+++ b/shard/shard.go
@@ -21,9 +21,6 @@
 	// KeepsAllowances is set when the host answers asks for tokens of limits that
 	// all hosts share. Hosts of earlier releases don't.
 	KeepsAllowances bool
-	// LearnsContents is set when the host can be told how to treat requests of a
-	// content. Hosts of earlier releases can't.
-	LearnsContents bool
 }
 
 // hashedHost is a host with the hash of its name.
--- a/verdict/verdict.go
+++ b/verdict/verdict.go
@@ -80,7 +80,6 @@
 	AllowanceUsed    Code = "AllowanceUsed"
 	AllowanceUnknown Code = "AllowanceUnknown"
 	LimitReached     Code = "LimitReached"
-	ContentHeld      Code = "ContentHeld"
 )
 
 // Failure is the error type of all steps that serve a request.
