--- a/metric/configuration.go
+++ b/metric/configuration.go
@@ -17,12 +17,17 @@
 func PublishConfiguration(version func() uint64, age func() (time.Duration, bool)) {
 	configurationOnce.Do(func() { expvar.Publish("Configuration", configuration) })
 	configuration.Set("Version", expvar.Func(func() any { return version() }))
-	configuration.Set("AgeMillis", expvar.Func(func() any {
+	configuration.Set("AgeMillis", ageMillis(age))
+}
+
+// ageMillis returns a variable that is an age in milliseconds, -1 while it is not known.
+func ageMillis(age func() (time.Duration, bool)) expvar.Func {
+	return func() any {
 		if age, known := age(); known {
 			return age.Milliseconds()
 		}
 		return -1
-	}))
+	}
 }
 
 // PublishEvacuations publishes the failure domains whose replicas get no requests. A
@@ -37,12 +42,7 @@
 // function of an earlier one.
 func PublishLists(age func() (time.Duration, bool)) {
 	configurationOnce.Do(func() { expvar.Publish("Configuration", configuration) })
-	configuration.Set("ListAgeMillis", expvar.Func(func() any {
-		if age, known := age(); known {
-			return age.Milliseconds()
-		}
-		return -1
-	}))
+	configuration.Set("ListAgeMillis", ageMillis(age))
 }
 
 // CountStaleRead counts a read of a list that was repeated as a consistent one, since it
